--- a/walnuthall/__init__.py
+++ b/pipitshed/__init__.py
@@ -1,6 +1,6 @@
 """Decisions of a dispatcher that pushes jobs to workers."""
 
-from walnuthall.interface import Settings
-from walnuthall.rules import Dispatcher
+from pipitshed.interface import Settings
+from pipitshed.rules import Dispatcher
 
 __all__ = ["Dispatcher", "Settings"]
--- a/walnuthall/drill.py
+++ b/pipitshed/drill.py
@@ -5,9 +5,9 @@
 import sys
 from typing import BinaryIO
 
-from walnuthall import wire
-from walnuthall.interface import Event
-from walnuthall.rules import Dispatcher
+from pipitshed import wire
+from pipitshed.interface import Event
+from pipitshed.rules import Dispatcher
 
 
 def _read(stream: BinaryIO, size: int) -> bytes:
@@ -56,7 +56,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"walnuthall: malformed input: {error}", file=sys.stderr)
+        print(f"pipitshed: malformed input: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/walnuthall/wire.py
+++ b/pipitshed/wire.py
@@ -13,7 +13,7 @@
 from enum import Enum
 from typing import Any, TypeVar
 
-from walnuthall import interface as api
+from pipitshed import interface as api
 
 HEADER = struct.Struct("<IId")
 REPLY_HEADER = struct.Struct("<II")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from walnuthall.interface import (
+from pipitshed.interface import (
     Action,
     Effect,
     Entry,
@@ -27,7 +27,7 @@
     TimerFired,
     WorkerId,
 )
-from walnuthall.rules import Dispatcher
+from pipitshed.rules import Dispatcher
 
 UNRUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from walnuthall import drill, wire
-from walnuthall import interface as api
-from walnuthall.rules import Dispatcher
+from pipitshed import drill, wire
+from pipitshed import interface as api
+from pipitshed.rules import Dispatcher
 
 INFO = json.dumps({"services": [{"goalTime": 300.0, "deadline": 5000.0, "repeat": "retryable"}],
                    "permissions": {"maxAttempts": 4}}).encode()
@@ -33,7 +33,7 @@
 
 
 def run(data: bytes) -> "subprocess.CompletedProcess[bytes]":
-    return subprocess.run([sys.executable, "-m", "walnuthall.drill"], input=data, capture_output=True)
+    return subprocess.run([sys.executable, "-m", "pipitshed.drill"], input=data, capture_output=True)
 
 
 def test_a_session_over_a_pipe() -> None:
--- a/tests/test_four_rules.py
+++ b/tests/test_four_rules.py
@@ -10,7 +10,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from walnuthall.interface import (
+from pipitshed.interface import (
     Cancel,
     Effect,
     Fail,
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -8,7 +8,7 @@
 import pytest
 from helpers import Bench, entries, sends_of, settings, worker_id
 
-from walnuthall.interface import (
+from pipitshed.interface import (
     Cancel,
     Effect,
     Fail,
@@ -35,7 +35,7 @@
     WatchList,
     Weights,
 )
-from walnuthall.rules import REFUSE_ABOVE, WINDOW
+from pipitshed.rules import REFUSE_ABOVE, WINDOW
 
 
 def serve(bench: Bench, jobs: int, outcome: Outcome = Outcome.OK, first: int = 1) -> list[Send]:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from walnuthall import interface as api
-from walnuthall import wire
+from pipitshed import interface as api
+from pipitshed import wire
 
 BATCH = bytes.fromhex(
     "03000000 4c000000 00000000206ec040"
