Gearman front, workers as egress targets, DNS-SD routes; the module keeps its promises

The second front listens only where deploy/front.toml gives addresses; on the platform it is off.

A line of the list may now name the classes that a planner runs (Gearman workers); lists without it are drawn from as before.

--- a/pipitshed/cli.py
+++ b/pipitshed/cli.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 import sys
+from pathlib import Path
 
 import click
 
 from pipitshed import __version__
-from pipitshed.config import Config, ConfigError, load
+from pipitshed.config import Config, ConfigError, Front, load, load_front
 from pipitshed.scheduler import serve as run_scheduler
 
 
-def _load() -> Config:
+front_option = click.option("--front", type=click.Path(path_type=Path), default=Path("deploy/front.toml"),
+                            show_default=True, help="The file that says where the Gearman front listens.")
+
+
+def _load(front: Path) -> tuple[Config, Front]:
     try:
-        return load()
+        config = load()
+        return config, load_front(front, config.classes)
     except ConfigError as error:
         click.echo(f"pipitshed: {error}", err=True)
         sys.exit(2)
@@ -25,23 +31,26 @@
 
 
 @main.command()
-def serve() -> None:
-    """Serve as LB_CONFIG says, until SIGTERM."""
-    config = _load()
+@front_option
+def serve(front: Path) -> None:
+    """Serve as LB_CONFIG and the front file say, until SIGTERM."""
+    config, asked = _load(front)
     try:
-        run_scheduler(config)
+        run_scheduler(config, asked)
     except OSError as error:
-        click.echo(f"pipitshed: {config.listen[0]}:{config.listen[1]}: {error.strerror}", err=True)
+        click.echo(f"pipitshed: can't listen: {error.strerror}", err=True)
         sys.exit(2)
 
 
 @main.command()
-def check() -> None:
-    """Read the configuration, and say what it asks for."""
-    config = _load()
+@front_option
+def check(front: Path) -> None:
+    """Read the configuration and the front file, and say what they ask for."""
+    config, asked = _load(front)
+    gearman = ", ".join(f"{host}:{port}" for host, port in asked.listen) or "off"
     click.echo(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, "
                f"classes {', '.join(config.classes)}, "
-               f"{len(config.known.instances) if config.known else 0} planners known")
+               f"{len(config.known.instances) if config.known else 0} planners known, Gearman {gearman}")
 
 
 @main.command()
--- a/pipitshed/config.py
+++ b/pipitshed/config.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import os
+import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -90,3 +92,71 @@
         raise ConfigError(f"{path}: {error.strerror}") from None
     except (msgspec.MsgspecError, SettingsError, ValueError) as error:
         raise ConfigError(f"{path}: {error}") from None
+
+
+# ---- the front file
+
+
+class _Function(msgspec.Struct, rename="kebab"):
+    job_class: str = msgspec.field(name="class")
+    tenant: str = ""
+    patience_s: float | None = None
+
+
+class _Workers(msgspec.Struct):
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    weight: float = 1.0
+
+
+class _Gearman(msgspec.Struct):
+    listen: list[str] = []
+    functions: dict[str, _Function] = {}
+    workers: _Workers = msgspec.field(default_factory=_Workers)
+
+
+class _DnsSd(msgspec.Struct):
+    server: str
+    service: str
+
+
+class _FrontFile(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+    gearman: _Gearman = msgspec.field(default_factory=_Gearman)
+    dns_sd: _DnsSd | None = None
+
+
+@dataclass(frozen=True)
+class Front:
+    """What the front file asks for; nothing where it gives no addresses."""
+
+    listen: list[tuple[str, int]]
+    functions: dict[str, tuple[str, str, float]]  # function: class, tenant, patience in ms (inf: the class's)
+    workers: _Workers
+    dns_server: tuple[str, int] | None
+    dns_service: str
+
+
+def load_front(path: Path, classes: list[str]) -> Front:
+    """Read the front file; ConfigError where it can't be used. No file asks for nothing."""
+    try:
+        file = msgspec.convert(tomllib.loads(path.read_text()), _FrontFile) if path.exists() else _FrontFile()
+        for name, function in file.gearman.functions.items():
+            if function.job_class not in classes:
+                raise ConfigError(f"{path}: function {name}: no class {function.job_class!r}")
+            if function.patience_s is not None and not 0 < function.patience_s < math.inf:
+                raise ConfigError(f"{path}: function {name}: patience-s = {function.patience_s}")
+        if file.gearman.listen and not file.gearman.functions:
+            raise ConfigError(f"{path}: gearman listens, but has no functions")
+        return Front(
+            [address_of(text) for text in file.gearman.listen],
+            {name: (one.job_class, one.tenant, math.inf if one.patience_s is None else one.patience_s * 1000)
+             for name, one in file.gearman.functions.items()},
+            file.gearman.workers, address_of(file.dns_sd.server) if file.dns_sd else None,
+            file.dns_sd.service if file.dns_sd else "")
+    except ConfigError:
+        raise
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
--- a/pipitshed/decisions/interface.py
+++ b/pipitshed/decisions/interface.py
@@ -176,6 +176,7 @@
     weight: float = 1.0
     started_at: float = 0.0
     state: State = State.READY
+    classes: frozenset[int] | None = None  # the classes it runs; None for all
 
 
 @dataclass(frozen=True, slots=True)
--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -36,11 +36,13 @@
 PAUSE_PART = 0.02  # first mean pause between attempts, as a part of the aim; it doubles with each failure
 LONGEST_PAUSE = 0.25  # longest mean pause, as a part of the class's aim
 START_PART = 0.1  # part of the class's aim within which a sent job should have started
+START_DEAR = 1.7  # what is added to it for each unit of price of a connection: a cancel closes one
 TURNED_PART = 6.0  # what is added to it for the part of attempts that workers turned away
 SLOW = 2.0  # times the mean pace from which a worker counts as slow
 PACE_AGE = 10_000.0  # ms after which what was seen of a worker's pace is void
 MEAN_SMOOTHING = 0.05  # weight of a new sample in the mean pace and run times
 LEAST_DONE = 0.05  # least share done that says something of the pace
+SLOTS = 4.0  # of a worker, as a guess, of which own started jobs take some
 SHY_MS = 300.0  # a worker that had no room is passed over this long; doubles with each repeat
 SHY_DOUBLINGS = 5  # at most, so that a suspect worker is tried again by real jobs within seconds
 OVERDUE = 2.5  # progress periods without news after which a started job counts as stalled
@@ -61,15 +63,16 @@
 
     __slots__ = ("id", "zone", "cell", "kind", "weight", "started_at", "ready", "unstarted", "shy_until",
                  "strikes", "asked", "room", "room_at", "lent", "lent_at",
-                 "idle", "idle_at", "pace", "pace_at")
+                 "idle", "idle_at", "pace", "pace_at", "held", "classes")
 
     def __init__(self, entry: Entry) -> None:
         self.id = entry.worker
         self.zone, self.cell, self.kind = entry.zone, entry.cell, entry.kind
-        self.weight = entry.weight
+        self.weight, self.classes = entry.weight, entry.classes
         self.started_at = 0.0
         self.ready = False
         self.unstarted = 0  # own jobs sent there that have not started
+        self.held = 0.0  # slots that own started jobs hold
         self.shy_until = 0.0  # passed over until then
         self.strikes = 0
         self.asked = False  # a probe is out
@@ -96,7 +99,7 @@
     """One client's job until its final answer and its last outcome."""
 
     __slots__ = ("id", "cls", "number", "deadline", "came", "attempts", "over", "stream", "resume", "asks",
-                 "ask_round", "ask_until", "offer", "failures", "slots", "unsure", "work", "wake")
+                 "ask_round", "ask_until", "offer", "failures", "slots", "unsure", "work", "wake", "promised")
 
     def __init__(self, event: Submitted, cls: JobClass, now: float) -> None:
         self.id, self.cls, self.number, self.came = event.job, cls, event.job_class, now
@@ -107,6 +110,7 @@
         self.asks: list[Worker] = []
         self.offer: Worker | None = None  # of the asked workers the one with most room
         self.ask_round, self.ask_until, self.failures = 0, now, 0
+        self.promised = 0  # attempts that it gets whatever becomes of f: one was called off for the next
         self.slots, self.work, self.unsure, self.wake = event.slots, event.work, UNSURE, math.inf
 
     def outs(self) -> list[Attempt]:
@@ -137,7 +141,7 @@
         self.actions: list[Action] = []
         self.workers: dict[WorkerId, Worker] = {}
         self.groups: dict[Scope, list[Worker]] = {}
-        self.pools: dict[tuple[Scope, int | None], Pool | None] = {}
+        self.pools: dict[tuple[Scope, int], Pool | None] = {}  # by scope and class
         self.jobs: dict[int, Job] = {}
         self.waiting: dict[int, Job] = {}  # jobs with no attempt out
         self.timers: dict[int, Job | None] = {}
@@ -216,7 +220,7 @@
             worker.weight += LIVE_SMOOTHING * (entry.weight - worker.weight)
         elif entry.weight > 0:
             worker.weight = entry.weight
-        worker.ready = entry.state is State.READY
+        worker.ready, worker.classes = entry.state is State.READY, entry.classes
         if entry.started_at > worker.started_at:
             # A new start: what was held against the old process is void, and it is cold.
             worker.started_at = entry.started_at
@@ -232,10 +236,12 @@
                     self.groups.setdefault(("cell", worker.cell), []).append(worker)
         return self.groups.get(scope, [])
 
-    def _pool(self, scope: Scope, kind: int | None) -> Pool | None:
-        key = (scope, kind)
+    def _pool(self, scope: Scope, job: Job) -> Pool | None:
+        """The ready workers of the job's class."""
+        key, kind = (scope, job.number), job.cls.kind
         if key not in self.pools:
-            workers = [worker for worker in self._group(scope) if kind is None or worker.kind == kind]
+            workers = [worker for worker in self._group(scope) if (kind is None or worker.kind == kind)
+                       and (worker.classes is None or job.number in worker.classes)]
             weights = [worker.weight for worker in workers]
             if self.settings.weights is Weights.NONE or not any(weights):
                 weights = [1.0] * len(workers)
@@ -246,7 +252,7 @@
 
     def _draw(self, job: Job, scope: Scope) -> Worker | None:
         """A worker by capacity; one that this dispatcher has cause to doubt is passed over, boundedly."""
-        pool = self._pool(scope, job.cls.kind)
+        pool = self._pool(scope, job)
         if pool is None:
             return None
         doubted = strange = None
@@ -256,7 +262,7 @@
             worker = pool.draw(self.rng)
             if self._cold(worker) and (place or again or not self._cold_turn(worker, job)):
                 continue
-            if worker.id not in tried and not self._doubt(worker):
+            if worker.id not in tried and not self._doubt(worker, job):
                 if self._connected(worker):
                     return worker
                 strange = strange or worker
@@ -269,14 +275,15 @@
         return self.settings.prices.handshake < DEAR_HANDSHAKE or (
             worker.idle > 0 and self.now - worker.idle_at < self.settings.limits.idle_close)
 
-    def _doubt(self, worker: Worker) -> bool:
+    def _doubt(self, worker: Worker, job: Job) -> bool:
         if worker.shy_until > self.now or worker.asked:
             return True
         if worker.pace > SLOW * self.pace and self.now - worker.pace_at < PACE_AGE and (
                 self.rng.random() > self.pace / worker.pace):
             return True  # its jobs would be late; a trickle tells when it is well again
         if self.settings.tells_start:
-            return worker.unstarted > 0
+            # What own jobs hold is no capacity: the draw goes by what is left of it.
+            return worker.unstarted > 0 or self.rng.random() * SLOTS < worker.held * (job.slots + 1) / 2
         return self.now - worker.room_at < SHY_MS and self._free(worker) < 1
 
     def _free(self, worker: Worker) -> float:
@@ -304,9 +311,9 @@
         more tries the own zone gets, and the fuller it must be before first tries spill over as well."""
         group = self._may(job)[1]
         own: Scope = ("zone", self.settings.zone)
-        if group is not None or self.settings.zones < 2 or self._pool(own, job.cls.kind) is None:
+        if group is not None or self.settings.zones < 2 or self._pool(own, job) is None:
             return group
-        near, all_ = self._pool(own, job.cls.kind), self._pool(None, job.cls.kind)
+        near, all_ = self._pool(own, job), self._pool(None, job)
         if near and all_ and self.rng.random() * all_.sums[-1] > near.sums[-1] * self.settings.zones:
             return None  # a zone with few workers, or few left, keeps no more than its capacity's part
         price = self.settings.prices.cross_zone + self.settings.prices.handshake
@@ -419,7 +426,7 @@
     def _place(self, job: Job) -> None:
         """Send the job to a drawn worker, or ask drawn workers first where that is cheap."""
         may_send = self._may(job)[0]
-        if not may_send or len(job.attempts) >= self._allowed(job):
+        if not may_send or len(job.attempts) >= max(job.promised, self._allowed(job)):
             if not job.outs():
                 self._close(job)
             return
@@ -484,7 +491,7 @@
         """How long a sent job may take to start: it grows with the attempts, as the pauses do, and where
         workers turn jobs away, for there a job that was taken has only a short queue before it; copies of
         it would fill a busy fleet with work done twice, above all where a cancel stops nothing."""
-        part = START_PART + TURNED_PART * self._turned_away()
+        part = START_PART + START_DEAR * self.settings.prices.handshake + TURNED_PART * self._turned_away()
         return max(3 * self.settings.tick, part * job.cls.aim) * 2.0 ** (len(job.attempts) - 1)
 
     def _tend(self, job: Job, outs: list[Attempt]) -> None:
@@ -511,6 +518,7 @@
             # The place in the queue is kept until another attempt starts.
             self._place(job)
         elif job.cls.effect is not Effect.UNSAFE and len(job.attempts) < self._allowed(job):
+            job.promised = len(job.attempts) + 1
             for attempt in outs:
                 self._cancel(job, attempt)
 
@@ -567,7 +575,9 @@
         worker = attempt.worker
         attempt.out = False
         attempt.unrun, attempt.served = event.outcome in UNRUN, event.outcome is Outcome.OK
-        if not attempt.started:
+        if attempt.started:
+            worker.held = max(0.0, worker.held - job.slots)
+        else:
             worker.unstarted = max(0, worker.unstarted - 1)
         self._report(worker, event.report)
         if event.outcome is not Outcome.CONNECT_FAILED:
@@ -619,6 +629,7 @@
             attempt.started = True
             attempt.news_at = self.now
             attempt.worker.unstarted = max(0, attempt.worker.unstarted - 1)
+            attempt.worker.held += job.slots
             if not attempt.counted:
                 self._room(attempt.worker)
             attempt.counted = True
--- /dev/null
+++ b/pipitshed/egress/gearman.py
@@ -0,0 +1,245 @@
+"""Hops to Gearman workers: a worker's connection is an egress target as long as it stands."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from pipitshed.decisions.interface import Entry, ListKind, NoteKind, Outcome, State
+from pipitshed.exchange.core import Core
+from pipitshed.exchange.parties import EgressTarget, Hop
+from pipitshed.wire.gearman import Kind, PacketError, pack
+
+SOURCE = "gearman workers"
+_GRABS = {Kind.GRAB_JOB: Kind.JOB_ASSIGN, Kind.GRAB_JOB_UNIQ: Kind.JOB_ASSIGN_UNIQ,
+          Kind.GRAB_JOB_ALL: Kind.JOB_ASSIGN_ALL}
+WORKER_KINDS = frozenset((
+    Kind.CAN_DO, Kind.CAN_DO_TIMEOUT, Kind.CANT_DO, Kind.RESET_ABILITIES, Kind.SET_CLIENT_ID, Kind.PRE_SLEEP,
+    Kind.ALL_YOURS, *_GRABS, Kind.WORK_STATUS, Kind.WORK_COMPLETE, Kind.WORK_FAIL, Kind.WORK_EXCEPTION,
+    Kind.WORK_DATA, Kind.WORK_WARNING))
+
+
+class Link(Protocol):
+    """A worker's connection."""
+
+    def write(self, data: bytes) -> None: ...
+
+    def abort(self) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where workers stand, for the decisions: all at one place, as the front file says."""
+
+    zone: int = 0
+    cell: int = 0
+    kind: int = 0
+    weight: float = 1.0
+
+
+class Worker:
+    """One worker's connection: what it can do, the hops that wait for it, and the one it runs."""
+
+    def __init__(self, carrier: GearmanCarrier, link: Link, number: int) -> None:
+        self.carrier = carrier
+        self.link = link
+        self.name = "-"
+        self.target = EgressTarget(f"gearman-{number}".encode(), carrier, self)
+        self.abilities: dict[str, float] = {}  # function: seconds it may take, 0 for no limit
+        self.waiting: list[Hop] = []
+        self.running: dict[bytes, Hop] = {}
+        self.data: dict[bytes, bytes] = {}  # WORK_DATA so far
+        self.asleep = False
+        self.listed = False
+        self.gone = False
+
+    def handle(self, kind: Kind, arguments: list[bytes]) -> None:
+        """One packet of a worker's."""
+        if kind in (Kind.CAN_DO, Kind.CAN_DO_TIMEOUT):
+            seconds = arguments[1] if kind is Kind.CAN_DO_TIMEOUT else b"0"
+            if not seconds.isdigit():
+                raise PacketError("CAN_DO_TIMEOUT needs whole seconds")
+            self.abilities[_text(arguments[0])] = float(seconds)
+            self.carrier.list_worker(self)
+        elif kind is Kind.CANT_DO:
+            self.abilities.pop(_text(arguments[0]), None)
+            self.carrier.list_worker(self)
+        elif kind is Kind.RESET_ABILITIES:
+            self.abilities.clear()
+            self.carrier.list_worker(self)
+        elif kind is Kind.SET_CLIENT_ID:
+            self.name = _text(arguments[0]) or "-"
+        elif kind is Kind.PRE_SLEEP:
+            self.asleep = True
+            self._wake()
+        elif kind in _GRABS:
+            self._grab(_GRABS[kind])
+        elif kind is not Kind.ALL_YOURS:
+            self._work(kind, arguments)
+
+    def add(self, hop: Hop) -> None:
+        """A hop waits for this worker from now on."""
+        self.waiting.append(hop)
+        self._wake()
+
+    def _wake(self) -> None:
+        if self.asleep and self.waiting:
+            self.asleep = False
+            self.link.write(pack(Kind.NOOP))
+
+    def _grab(self, answer: Kind) -> None:
+        self.asleep = False
+        if not self.waiting:
+            self.link.write(pack(Kind.NO_JOB))
+            return
+        hop = max(self.waiting, key=lambda one: one.exchange.request.priority)  # of equals the first
+        self.waiting.remove(hop)
+        core, request = self.carrier.core, hop.exchange.request
+        function = self.carrier.function(hop, self) or ""
+        handle = self.carrier.handle()
+        unique = (request.key or request.id).encode("latin-1", "replace")
+        extra = {Kind.JOB_ASSIGN: (), Kind.JOB_ASSIGN_UNIQ: (unique,), Kind.JOB_ASSIGN_ALL: (unique, b"")}
+        self.running[handle], hop.link = hop, handle
+        hop.ran = True
+        self.link.write(pack(answer, handle, function.encode("latin-1"), *extra[answer], request.body))
+        if limit := self.abilities.get(function, 0.0):
+            self.carrier.loop.call_later(limit, core.give_up, hop)
+        core.hop_noted(hop, NoteKind.STARTED)
+
+    def _work(self, kind: Kind, arguments: list[bytes]) -> None:
+        """News of a job, or its end. What comes for a job that is over here is passed over."""
+        handle = arguments[0]
+        hop = self.running.get(handle)
+        if hop is None:
+            return
+        core = self.carrier.core
+        if kind is Kind.WORK_STATUS:
+            done, whole = (_count(argument) for argument in arguments[1:])
+            core.hop_noted(hop, NoteKind.PROGRESS, min(1.0, done / whole) if whole else 0.0)
+            return
+        if kind is Kind.WORK_DATA:
+            held = self.data.get(handle, b"") + arguments[1]
+            if len(held) > self.carrier.body_limit:
+                raise PacketError("the result is too long")
+            self.data[handle] = held
+            return
+        if kind is Kind.WORK_WARNING:
+            return
+        # A job's end; after WORK_EXCEPTION a WORK_FAIL may follow, which finds the job over.
+        del self.running[handle]
+        data = self.data.pop(handle, b"")
+        if kind is Kind.WORK_COMPLETE:
+            core.hop_ended(hop, Outcome.OK, data + arguments[1])
+        else:
+            core.hop_ended(hop, Outcome.ERROR, arguments[1] if kind is Kind.WORK_EXCEPTION else b"")
+
+    def lost(self) -> None:
+        """The connection has ended: what was assigned may have run, what waited never has."""
+        self.gone = True
+        self.abilities.clear()
+        self.carrier.list_worker(self)
+        running, waiting = list(self.running.values()), self.waiting
+        self.running, self.waiting = {}, []
+        for hop in running:
+            self.carrier.core.hop_ended(hop, Outcome.RESET)
+        for hop in waiting:
+            self.carrier.core.hop_ended(hop, Outcome.CONNECT_FAILED)
+
+
+def _text(data: bytes) -> str:
+    return data.decode("latin-1")
+
+
+def _count(data: bytes) -> float:
+    try:
+        value = float(data)
+    except ValueError:
+        raise PacketError("WORK_STATUS needs numbers") from None
+    if not 0 <= value < 1e18:
+        raise PacketError("WORK_STATUS needs numbers")
+    return value
+
+
+class GearmanCarrier:
+    """All workers' connections, and the functions by which they know the classes."""
+
+    def __init__(self, core: Core, classes: Mapping[str, int], place: Place, body_limit: int,
+                 loop: asyncio.AbstractEventLoop) -> None:
+        self.core = core
+        self.loop = loop
+        self.classes = classes  # function: class
+        self.place = place
+        self.body_limit = body_limit
+        self.workers: dict[Worker, None] = {}
+        self._numbers = 0
+        self._handles = 0
+
+    def worker(self, link: Link) -> Worker:
+        """A connection has spoken as a worker."""
+        self._numbers += 1
+        worker = Worker(self, link, self._numbers)
+        self.workers[worker] = None
+        return worker
+
+    def handle(self) -> bytes:
+        """A new job handle; those given to workers are none of those given to clients."""
+        self._handles += 1
+        return b"H:pipitshed:hop:%d" % self._handles
+
+    def function(self, hop: Hop, worker: Worker) -> str | None:
+        """The name by which this worker knows the hop's work; None where it can't do it."""
+        request = hop.exchange.request
+        if request.function:
+            return request.function if request.function in worker.abilities else None
+        return next((function for function in worker.abilities
+                     if self.classes.get(function) == request.job_class), None)
+
+    def list_worker(self, worker: Worker) -> None:
+        """Tell the route table what a worker can do now. One that can do nothing more is draining until
+        its connection ends; hops that wait for what it no longer does never ran."""
+        can = frozenset(self.classes[name] for name in worker.abilities if name in self.classes)
+        state = State.GONE if worker.gone else State.READY if can else State.DRAINING
+        if worker.gone:
+            self.workers.pop(worker, None)
+        if can or worker.listed:
+            worker.listed = True
+            place = self.place
+            entry = Entry(worker.target.id, place.zone, place.cell, place.kind, place.weight, 0.0, state, can)
+            self.core.routes.fill(SOURCE, ListKind.DELTA, 0, [(entry, worker.target)])
+        if not worker.gone:
+            for hop in [hop for hop in worker.waiting if self.function(hop, worker) is None]:
+                worker.waiting.remove(hop)
+                self.core.hop_ended(hop, Outcome.FULL)
+
+    # ---- what the core asks
+
+    def carry(self, hop: Hop) -> None:
+        worker: Worker = hop.target.address
+        hop.ran = False
+        if worker.gone:
+            self.core.hop_ended(hop, Outcome.CONNECT_FAILED)
+        elif self.function(hop, worker) is None:
+            self.core.hop_ended(hop, Outcome.FULL)
+        else:
+            worker.add(hop)
+
+    def drop(self, hop: Hop) -> bool:
+        """A hop that waits leaves the queue. An assigned one can't be called off in this protocol: its
+        worker's connection is closed, as a planner's is, so that no second attempt runs beside it."""
+        worker: Worker = hop.target.address
+        if hop in worker.waiting:
+            worker.waiting.remove(hop)
+            return False
+        if worker.running.pop(hop.link, None) is not None:
+            worker.link.abort()
+            return True
+        return False
+
+    def probe(self, target: EgressTarget) -> None:
+        worker: Worker = target.address
+        self.core.probe_ended(target, Outcome.CONNECT_FAILED if worker.gone else Outcome.OK, 0.0)
+
+    def close_idle(self, target: EgressTarget) -> None:
+        """A worker's one connection is its own to close."""
--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -267,7 +267,7 @@
         return connection
 
     def _write_hop(self, connection: _Connection, hop: Hop) -> None:
-        connection.hop, hop.link = hop, connection
+        connection.hop, hop.link, hop.ran = hop, connection, True
         connection.write(request_bytes(hop, hop.deadline - self.loop.time()))
 
     async def _connect_for_hop(self, hop: Hop) -> None:
--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -150,18 +150,19 @@
             deadline = min(deadline, now + action.timeout / 1000)
         hop = Hop(exchange, len(exchange.hops), target, now, deadline)
         exchange.hops.append(hop)
-        hop.timer = self._loop.call_at(deadline, self._timed_out, hop)
+        hop.timer = self._loop.call_at(deadline, self.give_up, hop)
         target.carrier.carry(hop)
 
-    def _timed_out(self, hop: Hop) -> None:
+    def give_up(self, hop: Hop) -> None:
+        """The time for a hop is over."""
         if not hop.over:
             self._stop(hop, Outcome.TIMEOUT)
 
     def _stop(self, hop: Hop, outcome: Outcome) -> None:
+        # Stopped before its last byte was written, or before a worker took it, it has never run: that is
+        # how the protocol has it, and a keyed job keeps its choice of planners.
         ran = hop.target.carrier.drop(hop)
-        if outcome is Outcome.TIMEOUT and not ran:
-            outcome = Outcome.CONNECT_FAILED  # its connection never came up
-        self.hop_ended(hop, outcome)
+        self.hop_ended(hop, outcome if ran else Outcome.CONNECT_FAILED)
 
     def hop_noted(self, hop: Hop, kind: NoteKind, share: float = 0.0) -> None:
         """The planner tells of a job's start or progress."""
@@ -175,11 +176,13 @@
         """The one outcome of a hop; whatever comes after it is nothing to the core."""
         if hop.over:
             return
-        hop.over = True
+        hop.outcome = outcome
         if hop.timer is not None:
             hop.timer.cancel()
         self.tally[f"hop {outcome.name}"] += 1
         exchange = hop.exchange
+        if outcome is Outcome.ERROR:
+            exchange.fault = result
         if outcome is Outcome.OK and self._settle(exchange.number, "served"):
             exchange.client.served(result)
         self.post(Finished(
--- a/pipitshed/exchange/parties.py
+++ b/pipitshed/exchange/parties.py
@@ -6,7 +6,10 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from pipitshed.decisions.interface import NoteKind, WorkerId
+from pipitshed.decisions.interface import NoteKind, Outcome, WorkerId
+
+UNRUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))  # these prove it never ran
+
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +25,8 @@
     affinity: int = 0
     verb: str = "POST"
     resource: str = "/api"
+    function: str = ""  # what the client called the work, where its front names it
+    priority: int = 0  # the higher goes first where hops wait for one planner
     slots: float = 1.0
     memory: float = 0.0
     hint: float | None = None
@@ -48,7 +53,7 @@
     def carry(self, hop: Hop) -> None: ...
 
     def drop(self, hop: Hop) -> bool:
-        """Stop the hop for good; whether it may have run."""
+        """Stop the hop for good; whether it may have run, which it has not while unwritten or unassigned."""
 
     def probe(self, target: EgressTarget) -> None: ...
 
@@ -73,9 +78,14 @@
     client: Client
     deadline: float  # loop time
     settled: bool = False
+    fault: bytes = b""  # what the last planner that failed said of it
     hops: list[Hop] = field(default_factory=list)
     guard: asyncio.TimerHandle | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        return any(hop.may_have_run for hop in self.hops)
+
 
 @dataclass(slots=True, eq=False)
 class Hop:
@@ -86,6 +96,15 @@
     target: EgressTarget
     sent_at: float  # loop time
     deadline: float  # loop time
-    over: bool = False
+    ran: bool = False  # set by the carrier once it may have run
+    outcome: Outcome | None = None
     timer: asyncio.TimerHandle | None = None
     link: Any = None  # the carrier's own
+
+    @property
+    def over(self) -> bool:
+        return self.outcome is not None
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.outcome not in UNRUN if self.outcome is not None else self.ran
--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import math
-import socket
 import zlib
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import cast
 from urllib.parse import unquote_plus
 
@@ -20,7 +19,6 @@
 from pipitshed.wire.http import BODY_LIMIT, HEAD_LIMIT
 
 PIPELINED = 8  # requests that may wait behind one on a connection before reading stops
-ACCEPT_PAUSE = 0.05  # s after a failed accept
 LEAST_RETRY_AFTER = 0.001  # s
 
 _REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
@@ -86,9 +84,9 @@
             # A tenant that the settings do not name has a place behind all of theirs, and no share.
             self._tenants.get(head.get(b"x-tenant", b""), len(self._tenants)), body,
             head.get(b"idempotency-key", b"").decode("latin-1"), _affinity(head.get(b"cookie", b"")),
-            verb.decode("latin-1"), resource.decode("latin-1"), extras.get(b"slots", 1.0) or 1.0,
-            extras.get(b"memory", 0.0), _number(hint, "X-Cost-Hint") if hint else None,
-            head.get(b"x-retry", b"") == b"1")
+            verb.decode("latin-1"), resource.decode("latin-1"), slots=extras.get(b"slots", 1.0) or 1.0,
+            memory=extras.get(b"memory", 0.0), hint=_number(hint, "X-Cost-Hint") if hint else None,
+            repeat=head.get(b"x-retry", b"") == b"1")
 
 
 class _Connection(asyncio.Protocol):
@@ -234,60 +232,6 @@
             self._transport.close()
 
 
-class Listener:
-    """Accepts connections, whatever becomes of a single accept."""
-
-    def __init__(self, address: tuple[str, int], factory: Callable[[], asyncio.Protocol],
-                 loop: asyncio.AbstractEventLoop) -> None:
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.setblocking(False)
-        self._socket.bind(address)
-        self._socket.listen(1024)
-        self.address: tuple[str, int] = self._socket.getsockname()[:2]
-        self._factory = factory
-        self._loop = loop
-        self._tasks: set[asyncio.Task[object]] = set()
-        self._open = True
-        loop.add_reader(self._socket, self._accept)
-
-    def _accept(self) -> None:
-        while self._open:
-            try:
-                accepted, _ = self._socket.accept()
-            except (BlockingIOError, InterruptedError):
-                return
-            except ConnectionError:
-                continue  # the client has gone again
-            except OSError:
-                # Guards against the loss of the listener when descriptors run out: it waits for some.
-                self._loop.remove_reader(self._socket)
-                self._loop.call_later(ACCEPT_PAUSE, self._resume)
-                return
-            accepted.setblocking(False)
-            task = self._loop.create_task(self._loop.connect_accepted_socket(self._factory, accepted))
-            self._tasks.add(task)
-            task.add_done_callback(self._accepted)
-
-    def _accepted(self, task: asyncio.Task[object]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled():
-            task.exception()  # the client had gone; nothing was taken from it
-
-    def _resume(self) -> None:
-        if self._open:
-            self._loop.add_reader(self._socket, self._accept)
-
-    def close(self) -> None:
-        """Take in what stands in the queue, then listen no more."""
-        if self._open:
-            self._accept()
-            self._open = False
-            self._loop.remove_reader(self._socket)
-            self._socket.close()
-
-
 class HttpFront:
     """All HTTP clients' connections."""
 
--- /dev/null
+++ b/pipitshed/ingress/listener.py
@@ -0,0 +1,67 @@
+"""The sockets on which clients arrive."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+ACCEPT_PAUSE = 0.05  # s after a failed accept
+
+
+class Listener:
+    """Accepts connections, whatever becomes of a single accept."""
+
+    def __init__(self, address: tuple[str, int], factory: Callable[[], asyncio.Protocol],
+                 loop: asyncio.AbstractEventLoop, room: Callable[[], bool] = lambda: True) -> None:
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.setblocking(False)
+        self._socket.bind(address)
+        self._socket.listen(1024)
+        self.address: tuple[str, int] = self._socket.getsockname()[:2]
+        self._factory = factory
+        self._room = room
+        self._loop = loop
+        self._tasks: set[asyncio.Task[object]] = set()
+        self._open = True
+        loop.add_reader(self._socket, self._accept)
+
+    def _accept(self) -> None:
+        while self._open:
+            try:
+                accepted, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionError:
+                continue  # the client has gone again
+            except OSError:
+                # Guards against the loss of the listener when descriptors run out: it waits for some.
+                self._loop.remove_reader(self._socket)
+                self._loop.call_later(ACCEPT_PAUSE, self._resume)
+                return
+            if not self._room():
+                accepted.close()
+                continue
+            accepted.setblocking(False)
+            task = self._loop.create_task(self._loop.connect_accepted_socket(self._factory, accepted))
+            self._tasks.add(task)
+            task.add_done_callback(self._accepted)
+
+    def _accepted(self, task: asyncio.Task[object]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            task.exception()  # the client had gone; nothing was taken from it
+
+    def _resume(self) -> None:
+        if self._open:
+            self._loop.add_reader(self._socket, self._accept)
+
+    def close(self) -> None:
+        """Take in what stands in the queue, then listen no more."""
+        if self._open:
+            self._accept()
+            self._open = False
+            self._loop.remove_reader(self._socket)
+            self._socket.close()
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -9,14 +9,21 @@
 
 import uvloop
 
-from pipitshed.config import Config
+from pipitshed.config import Config, Front
+from pipitshed.egress.gearman import GearmanCarrier, Place
 from pipitshed.egress.http import HttpCarrier
 from pipitshed.exchange.core import Core
-from pipitshed.ingress.http import HttpFront, Listener, Reading
+from pipitshed.ingress.gearman import Function, GearmanFront
+from pipitshed.ingress.http import HttpFront, Reading
+from pipitshed.ingress.listener import Listener
 from pipitshed.routes.discovery import Discovery, Listing, Names
+from pipitshed.routes.dns_sd import DnsSd
+from pipitshed.wire.http import BODY_LIMIT
 
 LISTEN_ON = 0.5  # s after SIGTERM: new connections keep coming for up to 0.4 s
-CLIENTS_PART = 0.5  # part of the descriptors for clients' connections
+SETTLE = 0.02  # s between looks whether all is answered
+CLIENTS_PART = 0.4  # part of the descriptors for HTTP clients' connections
+GEARMAN_PART = 0.2  # and for Gearman's; the rest is for hops
 
 log = logging.getLogger("pipitshed")
 
@@ -24,29 +31,55 @@
 class Scheduler:
     """One running scheduler."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, config: Config, front: Front, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
+        self._ended = asyncio.Event()
+        self._draining = False
         self.core = Core(config.settings, config.seed, loop)
         self.carrier = HttpCarrier(self.core, config.fields, loop)
-        self.front = HttpFront(self.core, Reading(self.core, config.classes, config.tenants),
-                               int(config.sockets * CLIENTS_PART))
+        zones, kinds = Names(config.zones), Names(config.kinds)
         self.discovery: Discovery | None = None
-        listing = Listing(Names(config.zones), Names(config.kinds), self.carrier)
+        self.dns_sd: DnsSd | None = None
+        self.gearman: GearmanFront | None = None
         if config.discovery is not None:
-            self.discovery = Discovery(config.discovery, listing, self.core.routes, loop)
+            self.discovery = Discovery(
+                config.discovery, Listing(zones, kinds, self.carrier), self.core.routes, loop)
             self.core.ask_list = self.discovery.ask
             if config.known is not None:
                 self.discovery.known(config.known)
-        self.listener = Listener(config.listen, self.front.connection, loop)
+        if front.dns_server is not None:
+            self.dns_sd = DnsSd(front.dns_server, front.dns_service, zones, kinds, self.carrier,
+                                self.core.routes, loop)
+            self.dns_sd.start()
+        self.front = HttpFront(self.core, Reading(self.core, config.classes, config.tenants),
+                               int(config.sockets * CLIENTS_PART))
+        self.listeners = [Listener(config.listen, self.front.connection, loop)]
+        if front.listen:
+            gearman = self.gearman = self._gearman(config, front, zones, kinds)
+            self.listeners += [Listener(address, gearman.connection, loop, gearman.has_room)
+                               for address in front.listen]
         self.front.ready = True
-        self._ended = asyncio.Event()
-        self._draining = False
+
+    def _gearman(self, config: Config, front: Front, zones: Names, kinds: Names) -> GearmanFront:
+        functions = {}
+        for name, (class_name, tenant, patience) in front.functions.items():
+            number = config.classes.index(class_name)
+            known = config.tenants.index(tenant) if tenant in config.tenants else len(config.tenants)
+            functions[name] = Function(number, known, min(patience, config.settings.classes[number].deadline))
+        place = Place(zones.place(front.workers.zone), front.workers.cell, kinds.place(front.workers.kind),
+                      front.workers.weight)
+        carrier = GearmanCarrier(self.core, {name: one.job_class for name, one in functions.items()}, place,
+                                 BODY_LIMIT, self._loop)
+        label = f"{config.name or 'pipitshed'}-{config.seed & 0xFFFFFFFF:08x}"
+        return GearmanFront(self.core, carrier, functions, self._loop, label,
+                            int(config.sockets * GEARMAN_PART), self.drain)
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, and then until all that was taken is answered."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.drain)
-        log.info("listening on %s:%d", *self.listener.address)
+        for listener in self.listeners:
+            log.info("listening on %s:%d", *listener.address)
         await self._ended.wait()
         log.info("ended: %s", " ".join(f"{name}={count}" for name, count in sorted(self.core.tally.items())))
 
@@ -59,26 +92,33 @@
         self._loop.call_later(LISTEN_ON, self._close_doors)
 
     def _close_doors(self) -> None:
-        self.listener.close()
-        # One turn of the loop later, what stood in the listener's queue has its connection.
-        self._loop.call_later(0.02, self._end_when_idle)
+        for listener in self.listeners:
+            listener.close()
+        if self.gearman is not None:
+            self.gearman.closing = True
+        # A little later, what stood in the listeners' queues has its connection.
+        self._loop.call_later(SETTLE, self._end_when_idle)
 
     def _end_when_idle(self) -> None:
         self.front.close_idle()
-        if self.front.connections:
-            self._loop.call_later(0.02, self._end_when_idle)
+        if self.front.connections or self.core.busy or (self.gearman is not None and self.gearman.busy):
+            self._loop.call_later(SETTLE, self._end_when_idle)
             return
         if self.discovery is not None:
             self.discovery.close()
+        if self.dns_sd is not None:
+            self.dns_sd.close()
+        if self.gearman is not None:
+            self.gearman.close()
         self.carrier.close()
-        self._ended.set()
+        self._loop.call_later(SETTLE, self._ended.set)
 
 
-def serve(config: Config) -> None:
+def serve(config: Config, front: Front) -> None:
     """Run one scheduler to its end."""
 
     async def run() -> None:
-        scheduler = Scheduler(config, asyncio.get_running_loop())
+        scheduler = Scheduler(config, front, asyncio.get_running_loop())
         # What stands now stays; a full collection in the middle of traffic would make timers late.
         gc.collect()
         gc.freeze()
