Timers never reach the decisions early; stories for both fronts over loopback sockets

Checked: `_timer` in the module drops a list timer for which `now < list_due`, and `_wake` does not re-arm a job whose earlier timer has not been reset. uvloop rounds delays to whole ms and counts from its cached time, so a timer could come up to 1 ms early. Ruled out: the scripted catalog, which saw no second call. Faulty lines: core.py, `call_later(action.delay / 1000, ...)` and `now` from `loop.time()`.

--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -7,6 +7,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Sequence
+from time import monotonic
 
 from pipitshed.decisions.interface import (
     Action, Cancel, CloseIdle, Event, Fail, FetchList, Finished, Log, Note, NoteKind, Outcome, Probe, Probed,
@@ -32,8 +33,9 @@
         self.ask_list: Callable[[bool], None] = lambda watch: None  # discovery: a watch, or the whole list
         self._loop = loop
         # The decisions' clock is Unix time, as the planners' starts are told in it; it advances with the
-        # loop's own clock, so that a step of the system's clock moves no deadline.
-        self._epoch = time.time() - loop.time()
+        # monotonic clock, so that a step of the system's moves no deadline. The loop's own time would not
+        # do: uvloop's stands still during a turn and knows whole ms only.
+        self._epoch = time.time() - monotonic()
         self._dispatcher = Dispatcher(settings, seed)
         self._exchanges: dict[int, Exchange] = {}
         self._numbers = 0
@@ -52,13 +54,14 @@
     def _hand_over(self) -> None:
         self._due = False
         events, self._events = self._events, []
-        now = (self._epoch + self._loop.time()) * 1000
+        now = (self._epoch + monotonic()) * 1000
         for action in self._dispatcher.handle(now, events):
             self._carry_out(action)
 
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, SetTimer):
-            self._loop.call_later(action.delay / 1000, self.post, TimerFired(action.token))
+            due = monotonic() + action.delay / 1000
+            self._loop.call_at(due, self._timer_due, TimerFired(action.token), due)
         elif isinstance(action, Send):
             self._send(action)
         elif isinstance(action, Refuse):
@@ -82,13 +85,22 @@
         elif isinstance(action, Log):
             log.info("%s", action.text)
 
+    def _timer_due(self, event: TimerFired, due: float) -> None:
+        # Guards against timers that fire early: uvloop rounds to whole ms and counts from the start of its
+        # turn. The decisions take an early timer for an old one, and the next look at the list, or at a job,
+        # would never come.
+        if monotonic() < due:
+            self._loop.call_at(due + 0.001, self._timer_due, event, due)
+        else:
+            self.post(event)
+
     # ---- exchanges
 
     def take(self, request: Request, client: Client) -> Exchange:
         """A client's request is wholly in; from now on it is owed one final answer."""
         self._numbers += 1
         left = max(0.0, request.patience - MARGIN_MS)
-        exchange = Exchange(self._numbers, request, client, self._loop.time() + left / 1000)
+        exchange = Exchange(self._numbers, request, client, monotonic() + left / 1000)
         self._exchanges[exchange.number] = exchange
         self.tally["taken"] += 1
         # Guards against a final answer that never comes: whatever the decisions do, the client gets one.
@@ -137,7 +149,7 @@
     def _send(self, action: Send) -> None:
         exchange = self._exchanges.get(action.job)
         target = self.routes.target(action.worker)
-        now = self._loop.time()
+        now = monotonic()
         if exchange is None or exchange.settled or target is None or now >= exchange.deadline or (
                 len(exchange.hops) >= self.settings.limits.max_attempts):
             number = len(exchange.hops) if exchange is not None else 0
@@ -187,7 +199,7 @@
             exchange.client.served(result)
         self.post(Finished(
             exchange.number, hop.number, hop.target.id, outcome,
-            (self._loop.time() - hop.sent_at) * 1000, exchange.settled, tuple(report)))
+            (monotonic() - hop.sent_at) * 1000, exchange.settled, tuple(report)))
         self._forget(exchange)
 
     def probe_ended(self, target: EgressTarget, outcome: Outcome, elapsed: float,
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,290 @@
+"""Scripted peers on loopback sockets, and the program started between them: the one helper of the stories."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from pipitshed.wire.gearman import HEAD, REQUEST, Kind, pack
+
+ROOT = Path(__file__).parent.parent
+PATIENCE = 20.0  # s after which a story that hangs has failed
+SETTINGS: dict[str, Any] = {
+    "areas": ["lima-norte", "arequipa"], "shapes": ["fast", "standard", "slow"], "discovery": "on_request",
+    "familyInfo": {"tellsStart": True, "progress": 2000.0}, "locality": 0, "tick": 2.0, "weights": "rough",
+    "permissions": {"cancel": True, "connectTimeout": 250.0, "idleClose": 30000.0, "maxAttempts": 5,
+                    "probes": True},
+    "rules": {"answerSlack": 8.0, "askWithin": 10000.0, "drainGrace": 1500.0},
+    "services": [
+        {"name": "quote", "deadline": 5000.0, "goalTime": 2500.0, "repeat": "retryable"},
+        {"name": "book", "deadline": 15000.0, "goalTime": 10000.0, "repeat": "dedup", "keyScope": "zone",
+         "window": 25000.0}],
+    "stats": {"fields": ["x0", "x1", "load_share"], "source": "on_probe"},
+    "tenants": [{"name": "andes-retail", "share": 1.0, "allowancePerS": 1000.0}]}
+
+Reader, Writer = asyncio.StreamReader, asyncio.StreamWriter
+
+
+async def _message(reader: Reader) -> tuple[str, dict[str, str], bytes]:
+    """One HTTP message: first line, headers with small names, body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = {name.lower(): value.strip()
+               for name, _, value in (line.partition(":") for line in head[1:] if line)}
+    return head[0], headers, await reader.readexactly(int(headers.get("content-length", "0")))
+
+
+class Peer:
+    """A server at a port of its own; each connection goes to `serve`, and all of them end with the peer."""
+
+    port = 0
+
+    async def __aenter__(self) -> Any:
+        self.writers: list[Writer] = []
+        self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def _connected(self, reader: Reader, writer: Writer) -> None:
+        self.writers.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, ValueError):
+            await self.serve(reader, writer)
+        writer.close()
+
+    async def serve(self, reader: Reader, writer: Writer) -> None:
+        raise NotImplementedError
+
+
+@dataclass
+class Run:
+    """One request that came to a planner; `say` sends a line of its answer."""
+
+    headers: dict[str, str]
+    body: bytes
+    reader: Reader
+    writer: Writer
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def dropped(self) -> None:
+        """Wait until the scheduler closes the connection instead of taking the answer."""
+        with contextlib.suppress(ConnectionError):
+            assert await self.reader.read() == b""
+
+    def chunk(self, text: str) -> None:
+        data = text.encode()
+        self.writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def say(self, state: str, **more: object) -> None:
+        line = {"id": self.headers["x-request-id"], "state": state} | more
+        self.chunk(json.dumps(line) + "\n")
+        if state not in ("started", "running"):
+            self.writer.write(b"0\r\n\r\n")
+            self.ended.set()
+
+    def serve(self) -> None:
+        self.say("started")
+        self.say("done", result=f"plan of {self.body.decode()}")
+
+
+class Planner(Peer):
+    """A planner; `act` is told of each request, and serves it at once where nothing else is scripted."""
+
+    def __init__(self, name: str, zone: str = "lima-norte", act: Callable[[Run], None] = Run.serve) -> None:
+        self.name, self.zone, self.act = name, zone, act
+        self.runs: list[Run] = []
+        self.came = asyncio.Condition()
+
+    def line(self, lifecycle: str = "ready") -> dict[str, object]:
+        return {"instanceId": self.name, "hostPort": f"127.0.0.1:{self.port}", "zone": self.zone, "cell": 0,
+                "machineType": "fast", "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
+
+    async def serve(self, reader: Reader, writer: Writer) -> None:
+        while True:
+            _, headers, body = await _message(reader)
+            run = Run(headers, body, reader, writer)
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self.runs.append(run)
+            self.act(run)
+            async with self.came:
+                self.came.notify_all()
+            await run.ended.wait()
+
+    async def wait_for(self, count: int) -> Run:
+        """The run with this number, counted from one, once it has come."""
+        async with self.came:
+            await self.came.wait_for(lambda: len(self.runs) >= count)
+        return self.runs[count - 1]
+
+
+class Catalog(Peer):
+    """Discovery: answers each watch with the whole list, then with what `tell` says."""
+
+    def __init__(self, *planners: Planner) -> None:
+        self.planners = planners
+        self.generation = 1
+        self.watches: asyncio.Queue[Writer] = asyncio.Queue()
+
+    async def serve(self, reader: Reader, writer: Writer) -> None:
+        await _message(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.tell(writer, True, [planner.line() for planner in self.planners])
+        self.watches.put_nowait(writer)
+        await reader.read()
+
+    def tell(self, writer: Writer, reset: bool, instances: list[dict[str, object]]) -> None:
+        self.generation += 1
+        text = json.dumps({"generation": self.generation, "reset": reset, "instances": instances})
+        writer.write(b"%x\r\n%s\n\r\n" % (len(text) + 1, text.encode()))
+
+
+@dataclass
+class Program:
+    """The running program and where it listens."""
+
+    process: asyncio.subprocess.Process
+    port: int
+    gearman_port: int
+    log: list[str]
+
+    async def logged(self, text: str) -> None:
+        while not any(text in line for line in self.log):
+            self.log.append((await self.process.stdout.readline()).decode())  # type: ignore[union-attr]
+            assert self.log[-1], f"the program ended without {text!r}: {self.log}"
+
+
+@contextlib.asynccontextmanager
+async def program(*planners: Planner, catalog: Catalog | None = None, front: str = "",
+                  settings: dict[str, Any] | None = None, sockets: int = 1024,
+                  command: tuple[str, ...] = ("serve",)) -> AsyncIterator[Program]:
+    """The program, started as the deploy file does, with these planners known; it must end well."""
+    config = {
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "limits": {"sockets": sockets},
+        "discovery": f"127.0.0.1:{catalog.port}" if catalog else "",
+        "known": {"generation": 1, "reset": True, "instances": [planner.line() for planner in planners]},
+        "settings": SETTINGS | (settings or {})}
+    if catalog is None:  # the list that is known comes by way of discovery's part; no one is asked
+        config["discovery"] = "127.0.0.1:1"
+    with tempfile.TemporaryDirectory() as folder:
+        path, front_path = Path(folder) / "config.json", Path(folder) / "front.toml"
+        path.write_text(json.dumps(config))
+        front_path.write_text(front)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "pipitshed", *command, "--front", str(front_path), cwd=ROOT,
+            env=os.environ | {"LB_CONFIG": str(path)}, stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT)
+        running = Program(process, 0, 0, [])
+        try:
+            for place in range(2 if front else 1):
+                running.log.append((await process.stdout.readline()).decode())  # type: ignore[union-attr]
+                assert "listening" in running.log[-1], running.log[-1]
+                port = int(running.log[-1].rpartition(":")[2])
+                running.port, running.gearman_port = (port, 0) if place == 0 else (running.port, port)
+            yield running
+            if process.returncode is None:
+                process.send_signal(signal.SIGTERM)
+            rest, _ = await process.communicate()
+            running.log += rest.decode().splitlines(keepends=True)
+            assert process.returncode == 0 and "Traceback" not in "".join(running.log), running.log
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+
+class HttpClient:
+    """A client's kept connection."""
+
+    def __init__(self, reader: Reader, writer: Writer) -> None:
+        self.reader, self.writer = reader, writer
+
+    @classmethod
+    async def to(cls, port: int) -> HttpClient:
+        return cls(*await asyncio.open_connection("127.0.0.1", port))
+
+    def ask(self, number: str, job_class: str = "quote", body: bytes = b"pallets", **headers: str) -> None:
+        told = {"X-Request-Id": number, "X-Class": job_class, "X-Tenant": "andes-retail",
+                "X-Deadline": "5.000", "Content-Length": str(len(body))}
+        told |= {name.replace("_", "-"): value for name, value in headers.items()}
+        head = "".join(f"{name}: {value}\r\n" for name, value in told.items())
+        self.writer.write(f"POST /api HTTP/1.1\r\nHost: service.internal\r\n{head}\r\n".encode() + body)
+
+    async def answer(self) -> tuple[int, dict[str, str], bytes]:
+        line, headers, body = await _message(self.reader)
+        return int(line.split()[1]), headers, body
+
+
+class GearmanPeer:
+    """A client, worker or administrator at the Gearman front."""
+
+    def __init__(self, reader: Reader, writer: Writer) -> None:
+        self.reader, self.writer = reader, writer
+
+    @classmethod
+    async def to(cls, port: int) -> GearmanPeer:
+        return cls(*await asyncio.open_connection("127.0.0.1", port))
+
+    def say(self, kind: Kind, *arguments: bytes) -> None:
+        self.writer.write(pack(kind, *arguments, magic=REQUEST))
+
+    async def hear(self) -> tuple[Kind, list[bytes]]:
+        _, number, length = HEAD.unpack(await self.reader.readexactly(HEAD.size))
+        return Kind(number), (await self.reader.readexactly(length)).split(b"\0")
+
+    async def expect(self, kind: Kind) -> list[bytes]:
+        """The next packet's arguments; it must be of this kind."""
+        heard, arguments = await self.hear()
+        assert heard is kind, (heard, arguments)
+        return arguments
+
+    async def submit(self, function: bytes, unique: bytes, body: bytes,
+                     kind: Kind = Kind.SUBMIT_JOB) -> bytes:
+        """The handle of a new job."""
+        self.say(kind, function, unique, body)
+        return (await self.expect(Kind.JOB_CREATED))[0]
+
+    async def register(self, *functions: bytes) -> None:
+        """Be a worker that sleeps; the ECHO shows that all of it has been read."""
+        for function in functions:
+            self.say(Kind.CAN_DO, function)
+        self.say(Kind.PRE_SLEEP)
+        self.say(Kind.ECHO_REQ, b"ready")
+        await self.expect(Kind.ECHO_RES)
+
+    async def grab(self) -> list[bytes]:
+        """Be woken and take a job: handle, function, data."""
+        await self.expect(Kind.NOOP)
+        self.say(Kind.GRAB_JOB)
+        return await self.expect(Kind.JOB_ASSIGN)
+
+
+FRONT = """
+[gearman]
+listen = ["127.0.0.1:0"]
+[gearman.functions]
+plan_quote = { class = "quote", tenant = "andes-retail" }
+book_pallet = { class = "book", tenant = "andes-retail" }
+[gearman.workers]
+zone = "lima-norte"
+"""
+
+
+def story(body: Callable[[], Awaitable[None]]) -> Callable[[], None]:
+    """A test that is a coroutine, with an end to its patience."""
+    def test() -> None:
+        asyncio.run(asyncio.wait_for(body(), PATIENCE))  # type: ignore[arg-type]
+
+    test.__name__, test.__doc__ = body.__name__, body.__doc__
+    return test
--- /dev/null
+++ b/tests/test_gearman_front.py
@@ -0,0 +1,267 @@
+"""The Gearman front: old clients, old workers, and the same rules as before the HTTP front."""
+
+import asyncio
+from collections import Counter
+from typing import Any
+
+import pytest
+from loopback import FRONT, GearmanPeer, HttpClient, Planner, Run, program, story
+
+from pipitshed.wire.gearman import HEAD, REQUEST, Kind, pack
+
+
+@story
+async def test_gearman_clients_reach_http_planners() -> None:
+    async with Planner("p1") as planner, program(planner, front=FRONT) as running:
+        client = await GearmanPeer.to(running.gearman_port)
+        for kind in (Kind.SUBMIT_JOB, Kind.SUBMIT_JOB_HIGH, Kind.SUBMIT_JOB_LOW):
+            handle = await client.submit(b"plan_quote", b"", kind.name.encode(), kind)
+            assert await client.expect(Kind.WORK_COMPLETE) == [handle, b"plan of " + kind.name.encode()]
+        await client.submit(b"book_pallet", b"k1", b"four", Kind.SUBMIT_JOB_BG)
+        run = await planner.wait_for(4)
+        assert (run.headers["idempotency-key"], run.body) == ("k1", b"four")
+        ids = {run.headers["x-request-id"] for run in planner.runs}
+        assert len(ids) == 4
+
+
+@story
+async def test_http_clients_reach_gearman_workers() -> None:
+    async with program(front=FRONT) as running:
+        worker = await GearmanPeer.to(running.gearman_port)
+        await worker.register(b"plan_quote")
+        client = await HttpClient.to(running.port)
+        client.ask("a1", body=b"six")
+        handle, function, body = await worker.grab()
+        assert (function, body) == (b"plan_quote", b"six")
+        worker.say(Kind.WORK_DATA, handle, b"plan of ")
+        worker.say(Kind.WORK_STATUS, handle, b"1", b"2")
+        worker.say(Kind.WORK_COMPLETE, handle, b"six")
+        assert (await client.answer())[::2] == (200, b"plan of six")
+        worker.say(Kind.GRAB_JOB_UNIQ)
+        await worker.expect(Kind.NO_JOB)
+
+
+@story
+async def test_a_worker_lost_mid_job_is_a_reset() -> None:
+    """The quote may be asked again; the booking may have run, and is not run anew for a resubmission."""
+    async with program(front=FRONT) as running:
+        client = await GearmanPeer.to(running.gearman_port)
+        for function, unique, refused in [(b"plan_quote", b"q1", True), (b"book_pallet", b"b1", False)]:
+            worker = await GearmanPeer.to(running.gearman_port)
+            await worker.register(function)
+            handle = await client.submit(function, unique, b"six")
+            await worker.grab()
+            worker.writer.transport.abort()
+            if refused:
+                warned, text = await client.expect(Kind.WORK_WARNING)
+                assert warned == handle and float(text.removeprefix(b"retry-after ")) >= 0
+            assert await client.expect(Kind.WORK_FAIL) == [handle]
+        other = await GearmanPeer.to(running.gearman_port)
+        await other.register(b"book_pallet")
+        again = await client.submit(b"book_pallet", b"b1", b"six")
+        assert await client.expect(Kind.WORK_FAIL) == [again]
+        assert await unwoken(other)
+
+
+async def unwoken(worker: GearmanPeer) -> bool:
+    """Whether a sleeping worker has been left to sleep."""
+    worker.say(Kind.ECHO_REQ, b"still")
+    return (await worker.hear())[0] is Kind.ECHO_RES
+
+
+@story
+async def test_before_assignment_it_never_ran() -> None:
+    """Woken but not assigned: another worker gets even the booking."""
+    async with program(front=FRONT) as running:
+        first, second, client = [await GearmanPeer.to(running.gearman_port) for _ in range(3)]
+        await first.register(b"book_pallet")
+        handle = await client.submit(b"book_pallet", b"b1", b"six")
+        await first.expect(Kind.NOOP)
+        await second.register(b"book_pallet")
+        first.writer.transport.abort()
+        hop, _, _ = await second.grab()
+        second.say(Kind.WORK_COMPLETE, hop, b"booked")
+        assert await client.expect(Kind.WORK_COMPLETE) == [handle, b"booked"]
+
+
+@story
+async def test_a_resubmission_joins_the_running_job_and_finds_its_result() -> None:
+    async with program(front=FRONT) as running:
+        worker, gone, client, late = [await GearmanPeer.to(running.gearman_port) for _ in range(4)]
+        await worker.register(b"book_pallet")
+        await gone.submit(b"book_pallet", b"b1", b"six")
+        hop, _, _ = await worker.grab()
+        gone.writer.transport.abort()
+        handles = [await client.submit(b"book_pallet", b"b1", b"six") for _ in range(2)]
+        worker.say(Kind.WORK_COMPLETE, hop, b"booked")
+        worker.say(Kind.PRE_SLEEP)
+        answers = [await client.expect(Kind.WORK_COMPLETE) for _ in handles]
+        assert answers == [[handle, b"booked"] for handle in handles]
+        handle = await late.submit(b"book_pallet", b"b1", b"six")
+        assert await late.expect(Kind.WORK_COMPLETE) == [handle, b"booked"]
+        assert await unwoken(worker)
+
+
+@story
+async def test_a_worker_that_withdraws_its_ability_gets_nothing_new() -> None:
+    async with program(front=FRONT) as running:
+        draining, other, client = [await GearmanPeer.to(running.gearman_port) for _ in range(3)]
+        await draining.register(b"plan_quote", b"book_pallet")
+        waiting = await client.submit(b"book_pallet", b"b0", b"six")
+        await draining.expect(Kind.NOOP)
+        await other.register(b"book_pallet")
+        draining.say(Kind.CANT_DO, b"book_pallet")  # what waits there goes to the other
+        for number in range(5):
+            hop, _, _ = await other.grab()
+            other.say(Kind.WORK_COMPLETE, hop, b"booked")
+            other.say(Kind.PRE_SLEEP)
+            assert await client.expect(Kind.WORK_COMPLETE) == [waiting, b"booked"]
+            waiting = await client.submit(b"book_pallet", b"b%d" % (number + 1), b"six")
+        hop, _, _ = await other.grab()
+        other.say(Kind.WORK_COMPLETE, hop, b"booked")
+        draining.say(Kind.GRAB_JOB)
+        await draining.expect(Kind.NO_JOB)
+
+
+@pytest.mark.parametrize(("function", "kinds"), [
+    (b"plan_quote", [Kind.WORK_WARNING, Kind.WORK_FAIL]), (b"book_pallet", [Kind.WORK_FAIL])])
+def test_the_answer_comes_before_the_deadline(function: bytes, kinds: list[Kind]) -> None:
+    """And the hop ends with it: its worker's connection is closed."""
+    @story
+    async def run() -> None:
+        async with program(front=FRONT.replace(' }', ', patience-s = 0.3 }')) as running:
+            worker, client = [await GearmanPeer.to(running.gearman_port) for _ in range(2)]
+            await worker.register(function)
+            begun = asyncio.get_running_loop().time()
+            await client.submit(function, b"k1", b"six")
+            await worker.grab()
+            assert [(await client.hear())[0] for _ in kinds] == kinds
+            assert asyncio.get_running_loop().time() - begun < 0.3
+            assert await worker.reader.read() == b""
+    run()
+
+
+@story
+async def test_bad_packets_are_said_so_and_closed_and_split_ones_are_put_together() -> None:
+    async with Planner("p1") as planner, program(planner, front=FRONT) as running:
+        for data in [b"\0RES" + bytes(8), HEAD.pack(REQUEST, 999, 0), HEAD.pack(REQUEST, 7, 1 << 30),
+                     pack(Kind.SUBMIT_JOB, b"plan_quote", magic=REQUEST), pack(Kind.NOOP, magic=REQUEST),
+                     pack(Kind.CAN_DO_TIMEOUT, b"plan_quote", b"soon", magic=REQUEST)]:
+            peer = await GearmanPeer.to(running.gearman_port)
+            peer.writer.write(data)
+            assert (await peer.expect(Kind.ERROR))[0] == b"ERR_BAD_PACKET"
+            assert await peer.reader.read() == b""
+        client = await GearmanPeer.to(running.gearman_port)
+        whole = pack(Kind.SUBMIT_JOB, b"plan_quote", b"", b"a\0b", magic=REQUEST)
+        for place in range(len(whole)):
+            client.writer.write(whole[place:place + 1])
+            await asyncio.sleep(0)
+        [handle] = await client.expect(Kind.JOB_CREATED)
+        assert await client.expect(Kind.WORK_COMPLETE) == [handle, b"plan of a", b"b"]
+        client.say(Kind.SUBMIT_JOB, b"fly", b"", b"")
+        assert (await client.expect(Kind.ERROR))[0] == b"ERR_UNKNOWN_FUNCTION"
+        client.say(Kind.SUBMIT_JOB, b"plan_quote", b"", b"a" * 65_537)
+        assert (await client.expect(Kind.ERROR))[0] == b"ERR_TOO_LARGE"
+
+
+@story
+async def test_status_options_and_text_commands() -> None:
+    async with program(front=FRONT) as running:
+        worker, client, admin = [await GearmanPeer.to(running.gearman_port) for _ in range(3)]
+        worker.say(Kind.SET_CLIENT_ID, b"depot-7")
+        await worker.register(b"book_pallet")
+        client.say(Kind.OPTION_REQ, b"exceptions")
+        assert await client.expect(Kind.OPTION_RES) == [b"exceptions"]
+        handle = await client.submit(b"book_pallet", b"b1", b"six")
+        hop, _, _ = await worker.grab()
+        worker.say(Kind.WORK_STATUS, hop, b"1", b"4")
+        assert await client.expect(Kind.WORK_STATUS) == [handle, b"25", b"100"]
+        client.say(Kind.GET_STATUS, handle)
+        assert await client.expect(Kind.STATUS_RES) == [handle, b"1", b"1", b"25", b"100"]
+        admin.writer.write(b"status\nworkers\nversion\nfly\n")
+        lines = [(await admin.reader.readline()).decode().rstrip() for _ in range(7)]
+        assert lines[:3] == ["plan_quote\t0\t0\t0", "book_pallet\t1\t1\t1", "."]
+        assert lines[3:5] == ["- - depot-7 : book_pallet", "."] and lines[5].startswith("OK pipitshed")
+        assert lines[6].startswith("ERR")
+        worker.say(Kind.WORK_EXCEPTION, hop, b"no truck")
+        assert await client.expect(Kind.WORK_EXCEPTION) == [handle, b"no truck"]
+        assert await client.expect(Kind.WORK_FAIL) == [handle]
+        client.say(Kind.GET_STATUS, handle)
+        assert await client.expect(Kind.STATUS_RES) == [handle, b"0", b"0", b"0", b"0"]
+
+
+JOBS = [(name, body) for name in ("quote", "book") for body in
+        (b"serve", b"serve", b"lose", b"serve", b"fail", b"serve", b"stall", b"serve")]
+
+
+async def over_http(port: int, count: Any) -> None:
+    client = await HttpClient.to(port)
+    for number, (name, body) in enumerate(JOBS):
+        client.ask(f"h{number}", name, body, Idempotency_Key=f"h{number}", X_Deadline="0.4")
+        status, _, _ = await client.answer()
+        count[name, body, {200: "served", 503: "refused", 500: "failed"}[status]] += 1
+    client.ask("last", "quote", b"serve")  # an answer too many would stand before this one's
+    count["one answer each", (await client.answer())[2] == b"plan of serve"] += 1
+
+
+async def over_gearman(port: int, count: Any) -> None:
+    client = await GearmanPeer.to(port)
+    for number, (name, body) in enumerate(JOBS):
+        function = b"plan_quote" if name == "quote" else b"book_pallet"
+        handle = await client.submit(function, b"g%d" % number, body)
+        kind, arguments = await client.hear()
+        if kind is Kind.WORK_WARNING:
+            assert await client.expect(Kind.WORK_FAIL) == [handle]
+        assert arguments[0] == handle
+        count[name, body, {Kind.WORK_COMPLETE: "served", Kind.WORK_WARNING: "refused",
+                           Kind.WORK_FAIL: "failed"}[kind]] += 1
+    client.say(Kind.ECHO_REQ, b"last")
+    count["one answer each", (await client.hear())[0] is Kind.ECHO_RES] += 1
+
+
+@story
+async def test_a_mixed_run_keeps_the_same_rules_at_both_fronts() -> None:
+    """The same jobs from both fronts to an HTTP planner and a Gearman worker that act alike: the answers are
+    the same in number and kind, and no key runs twice."""
+    runs: Counter[str] = Counter()
+
+    def act(run: Run) -> None:
+        runs[run.headers.get("idempotency-key", "")] += 1
+        run.say("started")
+        if run.body != b"stall":
+            ends = {b"serve": "done", b"lose": "lost", b"fail": "failed"}
+            run.say(ends[run.body], result="plan of " + run.body.decode())
+
+    async def work(port: int) -> None:
+        while True:
+            worker = await GearmanPeer.to(port)
+            try:
+                worker.say(Kind.CAN_DO, b"plan_quote")
+                worker.say(Kind.CAN_DO, b"book_pallet")
+                while True:
+                    worker.say(Kind.PRE_SLEEP)
+                    await worker.expect(Kind.NOOP)
+                    worker.say(Kind.GRAB_JOB_UNIQ)
+                    hop, _, unique, body = await worker.expect(Kind.JOB_ASSIGN_UNIQ)
+                    runs[unique.decode()] += 1
+                    if body == b"lose":
+                        break
+                    if body == b"fail":
+                        worker.say(Kind.WORK_FAIL, hop)
+                    elif body == b"serve":
+                        worker.say(Kind.WORK_COMPLETE, hop, b"plan of " + body)
+            except asyncio.IncompleteReadError:
+                pass  # a stalled job was given up
+            worker.writer.transport.abort()
+
+    front = FRONT.replace(" }", ", patience-s = 0.4 }")
+    async with Planner("p1", act=act) as planner, program(planner, front=front) as running:
+        worker = asyncio.create_task(work(running.gearman_port))
+        counts: dict[str, Counter[object]] = {"http": Counter(), "gearman": Counter()}
+        await asyncio.gather(over_http(running.port, counts["http"]),
+                             over_gearman(running.gearman_port, counts["gearman"]))
+        worker.cancel()
+    assert counts["http"] == counts["gearman"]
+    assert counts["http"]["one answer each", True] == 1 and counts["http"]["book", b"lose", "failed"] == 1
+    booked = [f"{front}{number}" for front in "hg" for number, (name, _) in enumerate(JOBS) if name == "book"]
+    assert {runs[key] for key in booked} == {1}
--- /dev/null
+++ b/tests/test_http_front.py
@@ -0,0 +1,146 @@
+"""The program between HTTP clients, planners and discovery: a story for each failure met."""
+
+import asyncio
+import signal
+
+import pytest
+from loopback import Catalog, HttpClient, Planner, Run, program, story
+
+
+@story
+async def test_a_request_is_served_and_connections_are_kept() -> None:
+    """Guards against the first failure met: uvloop's transports are none of asyncio's."""
+    async with Planner("p1") as planner, program(planner) as running:
+        client = await HttpClient.to(running.port)
+        for number in ("a1", "a2", "a3"):
+            client.ask(number, "book", b"four pallets", Idempotency_Key="k-" + number,
+                       X_Extras="slots=2,memory=1.5")
+            assert (await client.answer())[::2] == (200, b"plan of four pallets")
+        told = [run.headers for run in planner.runs]
+        assert [headers["x-request-id"] for headers in told] == ["a1", "a2", "a3"]
+        assert told[0]["idempotency-key"] == "k-a1" and 0 < float(told[0]["x-deadline"]) < 5
+        assert len(planner.writers) == 1
+
+
+@story
+async def test_what_cannot_be_read_is_said_so_and_closed() -> None:
+    """Malformed, too long or unknown: an answer, a close, and the next client is served."""
+    async with Planner("p1") as planner, program(planner) as running:
+        for text, status in [
+                (b"nonsense\r\n\r\n", 400), (b"POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413),
+                (b"POST /api HTTP/1.1\r\nX-Long: " + b"a" * 40_000, 431),
+                (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1000\r\n" + b"b" * 4096
+                 + (b"\r\n1000\r\n" + b"b" * 4096) * 17, 413)]:
+            client = await HttpClient.to(running.port)
+            client.writer.write(text)
+            assert (await client.answer())[0] == status
+            assert await client.reader.read() == b""
+        client = await HttpClient.to(running.port)
+        client.ask("a1", "parcel")
+        assert (await client.answer())[0] == 400
+        client = await HttpClient.to(running.port)
+        client.ask("a2", X_Tenant="nobody")
+        assert (await client.answer())[0] == 200
+
+
+@story
+async def test_turned_away_goes_elsewhere_and_a_keyed_job_that_was_lost_stays_in_its_zone() -> None:
+    far = Planner("p2", "arequipa", lambda run: run.say("returned"))
+    async with (Planner("p1", act=lambda run: run.say("returned")) as near, far,
+                program(near, far, settings={"weights": "off"}) as running):
+        client = await HttpClient.to(running.port)
+        client.ask("a1", "book", Idempotency_Key="k1")
+        await near.wait_for(1)
+        near.act = Run.serve
+        far.act = Run.serve
+        assert (await client.answer())[0] == 200
+        near.act = lambda run: run.say("lost")
+        far.act = lambda run: run.say("lost")
+        client.ask("a2", "book", Idempotency_Key="k2", X_Deadline="0.5")
+        status, _, _ = await client.answer()
+        zones = {planner.zone for planner in (near, far)
+                     if any(run.headers["x-request-id"] == "a2" for run in planner.runs)}
+        assert status == 500 and len(zones) == 1
+
+
+@pytest.mark.parametrize("job_class, status", [("quote", 503), ("book", 500)])
+def test_a_silent_planner_costs_no_answer(job_class: str, status: int) -> None:
+    """The final answer comes before the deadline, and the hop's connection is closed with it."""
+    @story
+    async def run() -> None:
+        async with Planner("p1", act=lambda run: run.say("started")) as planner, program(planner) as running:
+            client = await HttpClient.to(running.port)
+            begun = asyncio.get_running_loop().time()
+            client.ask("a1", job_class, Idempotency_Key="k1", X_Deadline="0.300")
+            got, headers, _ = await client.answer()
+            assert asyncio.get_running_loop().time() - begun < 0.3
+            assert got == status and ("retry-after" in headers) == (status == 503)
+            await planner.runs[0].dropped()
+    run()
+
+
+@story
+async def test_a_client_that_goes_takes_its_hop_with_it() -> None:
+    async with Planner("p1", act=lambda run: run.say("started")) as planner, program(planner) as running:
+        client = await HttpClient.to(running.port)
+        client.ask("a1")
+        run = await planner.wait_for(1)
+        client.writer.transport.abort()
+        await run.dropped()
+        running.process.send_signal(signal.SIGTERM)
+        await running.logged("ended:")
+        assert "withdrawn=1" in running.log[-1]
+
+
+@story
+async def test_a_drain_is_kept_and_a_watch_that_ends_is_asked_for_again() -> None:
+    """What one watch said of a drain holds when it is cut off and the next is silent of it."""
+    async with (Planner("p1") as old, Planner("p2") as new, Catalog(old) as catalog,
+                program(old, catalog=catalog, settings={"rules": {"askWithin": 500.0}}) as running):
+        watch = await catalog.watches.get()
+        client = await HttpClient.to(running.port)
+        client.ask("a1")
+        assert (await client.answer())[0] == 200 and len(old.runs) == 1
+        catalog.planners = (new,)
+        catalog.tell(watch, False, [old.line("draining"), new.line()])
+        await watch.drain()
+        while not new.runs:  # until the news is in
+                client.ask(f"b{len(old.runs)}")
+                await client.answer()
+        seen = len(old.runs)
+        watch.transport.abort()
+        await catalog.watches.get()
+        for number in range(20):
+                client.ask(f"c{number}")
+                assert (await client.answer())[0] == 200
+        assert len(old.runs) == seen
+
+
+@story
+async def test_what_was_taken_is_answered_after_sigterm() -> None:
+    """And until the front has noticed, new connections are still served; idle ones are closed."""
+    async with Planner("p1", act=lambda run: run.say("started")) as planner, program(planner) as running:
+        idle, client = await HttpClient.to(running.port), await HttpClient.to(running.port)
+        client.ask("a1")
+        run = await planner.wait_for(1)
+        planner.act = Run.serve
+        running.process.send_signal(signal.SIGTERM)
+        late = await HttpClient.to(running.port)
+        late.ask("a2")
+        status, headers, _ = await late.answer()
+        assert (status, headers["connection"]) == (200, "close")
+        assert await idle.reader.read() == b""
+        run.say("done", result="at last")
+        status, headers, body = await client.answer()
+        assert (status, body, headers["connection"]) == (200, b"at last", "close")
+        assert await running.process.wait() == 0
+
+
+@story
+async def test_more_clients_than_descriptors() -> None:
+    """Guards against the loss of the listener: the client that is idle for longest makes room."""
+    async with Planner("p1") as planner, program(planner, sockets=40) as running:
+        clients = [await HttpClient.to(running.port) for _ in range(60)]
+        clients[-1].ask("a1")
+        assert (await clients[-1].answer())[0] == 200
+        assert await clients[0].reader.read() == b""
