--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -165,6 +165,10 @@
                       [line.load.get(name, 0.0) for name in self._carrier.fields] if line.load else ())
 
     def answer_ended(self, keep_alive: bool) -> None:
+        if self.hop is None and self.probed is None:
+            # Guards against an answer that nobody asked for: this connection already stands in the pool.
+            self.close()
+            return
         headers = self._reader.headers
         report = read_load(headers.get(b"x-load", b""), self._carrier.fields)
         if self._status == 200 and self.hop is not None:
--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -103,6 +103,7 @@
         self._waiting: deque[Request | int] = deque()  # requests in order; a number is an answer's status
         self._exchange: Exchange | None = None
         self._last = False  # nothing more is read
+        self._paused = False
 
     # ---- what comes in
 
@@ -179,7 +180,8 @@
         else:
             self._waiting.append(self._front.reading.request(verb, self._resource, self._headers, body))
         self._next()
-        if len(self._waiting) > PIPELINED and self._transport is not None:
+        if len(self._waiting) > PIPELINED and self._transport is not None and not self._paused:
+            self._paused = True
             self._transport.pause_reading()
 
     # ---- what goes out
@@ -192,7 +194,8 @@
     def _next(self) -> None:
         """Take the request that is next in order."""
         while self._exchange is None and self._waiting and self._transport is not None:
-            if len(self._waiting) <= PIPELINED:
+            if self._paused and len(self._waiting) <= PIPELINED and not self._transport.is_closing():
+                self._paused = False
                 self._transport.resume_reading()
             first = self._waiting.popleft()
             if isinstance(first, int):
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -187,7 +187,7 @@
             stderr=asyncio.subprocess.STDOUT)
         running = Program(process, 0, 0, [])
         try:
-            for place in range(2 if front else 1):
+            for place in range(2 if "listen" in front else 1):
                 running.log.append((await process.stdout.readline()).decode())  # type: ignore[union-attr]
                 assert "listening" in running.log[-1], running.log[-1]
                 port = int(running.log[-1].rpartition(":")[2])
--- /dev/null
+++ b/tests/test_dns_sd.py
@@ -0,0 +1,88 @@
+"""DNS-SD records in the route table, from a name server that is scripted here."""
+
+import asyncio
+
+import dns.message
+import dns.name
+import dns.rcode
+import dns.rdatatype
+import dns.rrset
+from loopback import HttpClient, Planner, program, story
+
+SERVICE = "_planner._tcp.depots.example."
+
+
+class NameServer(asyncio.DatagramProtocol):
+    """Answers from `records`, and counts the questions."""
+
+    def __init__(self) -> None:
+        self.records: dict[tuple[str, str], list[str]] = {}
+        self.asked: dict[tuple[str, str], int] = {}
+        self.came = asyncio.Event()
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:  # type: ignore[override]
+        self.transport = transport
+        self.port = transport.get_extra_info("sockname")[1]
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        query = dns.message.from_wire(data)
+        name, kind = query.question[0].name, dns.rdatatype.to_text(query.question[0].rdtype)
+        answer = dns.message.make_response(query)
+        key = (name.to_text(), kind)
+        if key in self.records:
+            answer.answer.append(dns.rrset.from_text(name, 1, "IN", kind, *self.records[key]))
+        else:
+            answer.set_rcode(dns.rcode.NXDOMAIN)
+        self.transport.sendto(answer.to_wire(), address)
+        self.asked[key] = self.asked.get(key, 0) + 1
+        self.came.set()
+
+    async def rounds(self, count: int) -> None:
+        """Wait for so many questions for the service from now on."""
+        key = (SERVICE, "PTR")
+        until = self.asked.get(key, 0) + count
+        while self.asked.get(key, 0) < until:
+            self.came.clear()
+            await self.came.wait()
+
+    def add(self, planner: Planner, *pairs: str) -> None:
+        name = f"{planner.name}.{SERVICE}"
+        self.records[name, "SRV"] = [f"0 1 {planner.port} {planner.name}.depots.example."]
+        self.records[name, "TXT"] = [" ".join(f'"{pair}"' for pair in ("zone=lima-norte", *pairs))]
+        self.records[f"{planner.name}.depots.example.", "A"] = ["127.0.0.1"]
+        listed = self.records.setdefault((SERVICE, "PTR"), [])
+        if name not in listed:
+            listed.append(name)
+
+
+@story
+async def test_records_fill_the_route_table_and_drains_are_kept() -> None:
+    """A draining record and one that has vanished get nothing new from 1.5 s on; two rounds are less."""
+    loop = asyncio.get_running_loop()
+    _, server = await loop.create_datagram_endpoint(NameServer, local_addr=("127.0.0.1", 0))
+    front = f'[dns-sd]\nserver = "127.0.0.1:{server.port}"\nservice = "{SERVICE}"\n'
+    async with Planner("p1") as first, Planner("p2") as second:
+        server.add(first)
+        server.add(second, "state=draining")
+        async with program(front=front, settings={"discovery": "pushed"}) as running:
+            client = await HttpClient.to(running.port)
+
+            async def twenty(planner: Planner) -> None:
+                seen = len(planner.runs)
+                for number in range(20):
+                    client.ask(f"{planner.name}-{seen + number}")
+                    assert (await client.answer())[0] == 200
+                assert len(planner.runs) == seen + 20
+
+            await twenty(first)
+            begun = loop.time()
+            server.add(first, "state=draining")
+            server.add(second)
+            await server.rounds(2)
+            assert loop.time() - begun < 1.5
+            await twenty(second)
+            server.records[SERVICE, "PTR"].remove(f"p2.{SERVICE}")
+            server.add(first)
+            await server.rounds(2)
+            await twenty(first)
+    server.transport.close()
