--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -580,7 +580,7 @@
         else:
             worker.unstarted = max(0, worker.unstarted - 1)
         self._report(worker, event.report)
-        if event.outcome is not Outcome.CONNECT_FAILED:
+        if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             worker.idle, worker.idle_at = worker.idle + 1, self.now
         if event.outcome in (Outcome.FULL, Outcome.CONNECT_FAILED):
             if not attempt.counted:
