First tries go to any zone where connections are dear

Cause: `_scope` counted a crossing with the price of a connection, 0.134 here, so that half of the fleet was left out until f stood over 0.67. Connections are kept and bear the crossings; what costs one is an attempt that finds no room and is called off.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -25,18 +25,19 @@
 CHEAP = 0.75  # of the mean worth for work, under which a job is refused before others
 CHEAP_FROM = 0.7  # f from which some of those are refused
 TURNED_AWAY = 0.35  # what workers turned away counts so much more: no place in a queue was kept meanwhile
-OWN_TRIES = 15.0  # own zone tries before others, for each unit of price of a crossing with its connection
+OWN_TRIES = 15.0  # own zone tries before others, for each unit of price of a crossing
 SPILL_FROM = 5.0  # f from which first tries spill, for each unit of that price
+SPILL_DEAR = 8.0  # what of them spills for each unit of price of a connection: no room costs one
 SHARE_MS = 2000.0  # ms over which a tenant's own recent traffic fades
 UNEVEN = 1.25  # a tenant's part of the own traffic over its share that is still chance
 BUSY = 0.5  # f above which a job that can no longer be in time gets no further attempt
 TRIED_ANYWAY = 0.05  # part of the jobs above it that are tried all the same, so that f can recover
 UNSURE = 0.1  # 1 - assurance of the class worth least; the others' shrinks with their worth
-DRAWS = 8  # draws for one pick before a worker that was passed over is taken after all
+DRAWS = 16  # draws for one pick before a worker that was passed over is taken after all
 PAUSE_PART = 0.02  # first mean pause between attempts, as a part of the aim; it doubles with each failure
 LONGEST_PAUSE = 0.25  # longest mean pause, as a part of the class's aim
 START_PART = 0.1  # part of the class's aim within which a sent job should have started
-START_DEAR = 1.7  # what is added to it for each unit of price of a connection: a cancel closes one
+START_DEAR = 3.0  # what is added to it for each unit of price of a connection: a cancel closes one
 TURNED_PART = 6.0  # what is added to it for the part of attempts that workers turned away
 SLOW = 2.0  # times the mean pace from which a worker counts as slow
 PACE_AGE = 10_000.0  # ms after which what was seen of a worker's pace is void
@@ -308,7 +309,9 @@
 
     def _scope(self, job: Job) -> Scope:
         """Its group where it may have run, else the own zone first, then anywhere. The dearer a crossing, the
-        more tries the own zone gets, and the fuller it must be before first tries spill over as well."""
+        more tries the own zone gets, and the fuller it must be before first tries spill over as well. Where
+        connections are dear they go anywhere: those kept bear the crossings, and an attempt that finds no
+        room in a small zone is called off, which closes one."""
         group = self._may(job)[1]
         own: Scope = ("zone", self.settings.zone)
         if group is not None or self.settings.zones < 2 or self._pool(own, job) is None:
@@ -316,9 +319,9 @@
         near, all_ = self._pool(own, job), self._pool(None, job)
         if near and all_ and self.rng.random() * all_.sums[-1] > near.sums[-1] * self.settings.zones:
             return None  # a zone with few workers, or few left, keeps no more than its capacity's part
-        price = self.settings.prices.cross_zone + self.settings.prices.handshake
-        tries = len(job.attempts) + job.ask_round
-        if tries > OWN_TRIES * price or self.rng.random() < (self._f() or 0.0) - SPILL_FROM * price:
+        prices, tries = self.settings.prices, len(job.attempts) + job.ask_round
+        spill = (self._f() or 0.0) - SPILL_FROM * prices.cross_zone + SPILL_DEAR * prices.handshake
+        if tries > OWN_TRIES * prices.cross_zone or self.rng.random() < spill:
             return None
         return own
 
