--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -549,9 +549,10 @@
     def _close(self, job: Job) -> None:
         """Give the final answer that the job's effect allows."""
         if self._may(job)[2]:
-            limits = self.settings.limits
             # The client's aim runs on while it waits: it is asked back as soon as a longest pause is over.
-            wait = LONGEST_PAUSE * job.cls.aim * self.rng.uniform(0.5, 1.5) if limits.retry_after else 0.0
+            # Also where clients are not bound to it: a refusal says when to come back.
+            spread = self.rng.uniform(0.5, 1.5) if self.settings.limits.retry_after else 1.0
+            wait = LONGEST_PAUSE * job.cls.aim * spread
             self.actions.append(Refuse(job.id, wait))
         else:
             self.actions.append(Fail(job.id))
--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -19,7 +19,6 @@
 from pipitshed.wire.http import BODY_LIMIT, HEAD_LIMIT
 
 PIPELINED = 8  # requests that may wait behind one on a connection before reading stops
-LEAST_RETRY_AFTER = 0.001  # s
 
 _REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
             413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
@@ -220,7 +219,7 @@
         self._next()
 
     def refused(self, retry_after: float) -> None:
-        self._write(503, b"", f"Retry-After: {max(LEAST_RETRY_AFTER, retry_after / 1000):.3f}\r\n")
+        self._write(503, b"", f"Retry-After: {retry_after / 1000:.3f}\r\n")
         self._next()
 
     def failed(self) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,13 +1,17 @@
 """The core alone, between a loop and parties that are scripted."""
 
 import asyncio
+import errno
+import socket
 from typing import Any
 
+import pytest
 from helpers import entries, settings
 
 from pipitshed.decisions.interface import ListKind
 from pipitshed.exchange.core import Core
 from pipitshed.exchange.parties import EgressTarget
+from pipitshed.ingress.listener import Listener
 
 
 class HastyLoop:
@@ -32,3 +36,32 @@
         await asyncio.wait_for(asked.wait(), 5)
 
     asyncio.run(run())
+
+
+def test_a_failed_accept_does_not_lose_the_listener(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Out of descriptors for once: the client in the queue is served when there are some again."""
+    async def run() -> None:
+        failures = [OSError(errno.EMFILE, "too many open files")]
+        accept = socket.socket.accept
+
+        def failing(self: socket.socket) -> Any:
+            if failures:
+                raise failures.pop()
+            return accept(self)
+
+        served = asyncio.Event()
+
+        class Served(asyncio.Protocol):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                served.set()
+                transport.close()
+
+        monkeypatch.setattr(socket.socket, "accept", failing)
+        listener = Listener(("127.0.0.1", 0), Served, asyncio.get_running_loop())
+        _, writer = await asyncio.open_connection(*listener.address)
+        await asyncio.wait_for(served.wait(), 5)
+        assert not failures
+        writer.close()
+        listener.close()
+
+    asyncio.run(run())
