--- a/pipitshed/ingress/gearman.py
+++ b/pipitshed/ingress/gearman.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import hashlib
+import logging
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
@@ -27,6 +28,8 @@
 
 MOST_JOBS = 4096  # open at once
 
+log = logging.getLogger("pipitshed")
+
 # The kinds of submission: their priority, and whether the client waits for the answer.
 _SUBMITS = {
     Kind.SUBMIT_JOB: (0, True), Kind.SUBMIT_JOB_BG: (0, False), Kind.SUBMIT_JOB_HIGH: (1, True),
@@ -51,11 +54,11 @@
         self.front, self.handle, self.unique = front, handle, unique
         self.connection = connection  # None for a job in the background
         self.entry: Entry | None = None
-        self.started = self.over = False
+        self.started = False
         self.share = 0.0
 
     def served(self, result: bytes) -> None:
-        self._end(pack(Kind.WORK_COMPLETE, self.handle, result))
+        self._end(pack(Kind.WORK_COMPLETE, self.handle, result), done=True)
 
     def refused(self, retry_after: float) -> None:
         """Trying again is harmless: the warning says when."""
@@ -77,12 +80,14 @@
                 done = b"%d" % round(share * 100)
                 self.connection.write(pack(Kind.WORK_STATUS, self.handle, done, b"100"))
 
-    def _end(self, *packets: bytes) -> None:
-        self.over = True
+    def _end(self, *packets: bytes, done: bool = False) -> None:
         self.front.ended(self)
         if self.connection is not None:
             self.connection.write(b"".join(packets))
             self.connection.ended(self)
+        elif not done:
+            # Nobody waits for a job in the background: the log alone can tell that it was not done.
+            log.warning("background job %s was not done", self.handle.decode("latin-1"))
 
 
 class _Connection(asyncio.Protocol):
@@ -95,7 +100,6 @@
         self._buffer = Buffer(HEAD.size + PACKET_LIMIT + 256 * 1024)  # a read, and a packet begun before it
         self._transport: asyncio.Transport | None = None
         self._jobs: dict[_Job, None] = {}
-        self._name = "-"
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -21,6 +21,7 @@
 from pipitshed.wire.http import BODY_LIMIT
 
 LISTEN_ON = 0.5  # s after SIGTERM: new connections keep coming for up to 0.4 s
+LONGEST_END = 1.0  # s beyond the longest deadline after which nothing can be owed any more
 SETTLE = 0.02  # s between looks whether all is answered
 CLIENTS_PART = 0.4  # part of the descriptors for HTTP clients' connections
 GEARMAN_PART = 0.2  # and for Gearman's; the rest is for hops
@@ -35,6 +36,7 @@
         self._loop = loop
         self._ended = asyncio.Event()
         self._draining = False
+        self._end_by = 0.0
         self.core = Core(config.settings, config.seed, loop)
         self.carrier = HttpCarrier(self.core, config.fields, loop)
         zones, kinds = Names(config.zones), Names(config.kinds)
@@ -66,7 +68,8 @@
             number = config.classes.index(class_name)
             known = config.tenants.index(tenant) if tenant in config.tenants else len(config.tenants)
             functions[name] = Function(number, known, min(patience, config.settings.classes[number].deadline))
-        place = Place(zones.place(front.workers.zone), front.workers.cell, kinds.place(front.workers.kind),
+        zone = zones.place(front.workers.zone) if front.workers.zone else config.settings.zone
+        place = Place(zone, front.workers.cell, kinds.place(front.workers.kind),
                       front.workers.weight)
         carrier = GearmanCarrier(self.core, {name: one.job_class for name, one in functions.items()}, place,
                                  BODY_LIMIT, self._loop)
@@ -88,6 +91,8 @@
         if self._draining:
             return
         self._draining = True
+        longest = max(cls.deadline for cls in self.core.settings.classes) / 1000
+        self._end_by = self._loop.time() + LISTEN_ON + longest + LONGEST_END
         self.front.drain()
         self._loop.call_later(LISTEN_ON, self._close_doors)
 
@@ -101,7 +106,9 @@
 
     def _end_when_idle(self) -> None:
         self.front.close_idle()
-        if self.front.connections or self.core.busy or (self.gearman is not None and self.gearman.busy):
+        owed = self.front.connections or self.core.busy or (self.gearman is not None and self.gearman.busy)
+        # Guards against a client that never ends the request it has begun.
+        if owed and self._loop.time() < self._end_by:
             self._loop.call_later(SETTLE, self._end_when_idle)
             return
         if self.discovery is not None:
