--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -4,7 +4,7 @@
 import signal
 
 import pytest
-from loopback import Catalog, HttpClient, Planner, Run, program, story
+from loopback import SETTINGS, Catalog, HttpClient, Planner, Run, program, story
 
 
 @story
@@ -144,3 +144,43 @@
         clients[-1].ask("a1")
         assert (await clients[-1].answer())[0] == 200
         assert await clients[0].reader.read() == b""
+
+
+@story
+async def test_a_watch_that_is_refused_or_falls_silent_is_asked_for_again() -> None:
+    """A 503, then a watch without its heartbeat: both are failed list news, and another watch follows."""
+    class Busy(Catalog):
+        calls = 0
+
+        async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.calls += 1
+            if self.calls == 1:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+            else:
+                await super().serve(reader, writer)
+
+    async with (Planner("p1") as planner, Busy(planner) as catalog,
+                program(catalog=catalog, settings={"rules": {"askWithin": 500.0}}) as running):
+        await catalog.watches.get()
+        client = await HttpClient.to(running.port)
+        client.ask("a1")
+        assert (await client.answer())[0] == 200
+        silent_since = asyncio.get_running_loop().time()
+        await catalog.watches.get()
+        assert asyncio.get_running_loop().time() - silent_since > 2.0 and catalog.calls == 3
+
+
+@story
+async def test_an_idle_connection_is_closed_before_the_planner_closes_it() -> None:
+    """Guards against a request written to a connection that the planner gives up just then."""
+    limits = SETTINGS["permissions"] | {"idleClose": 1000.0}
+    async with Planner("p1") as planner, program(planner, settings={"permissions": limits}) as running:
+        client = await HttpClient.to(running.port)
+        client.ask("a1")
+        assert (await client.answer())[0] == 200
+        answered = asyncio.get_running_loop().time()
+        await planner.writers[0].wait_closed()
+        assert asyncio.get_running_loop().time() - answered < 1.0
+        client.ask("a2")
+        assert (await client.answer())[0] == 200 and len(planner.writers) == 2
