--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -205,7 +205,7 @@
             self.pools.clear()
         if self.settings.list_on_request and news.kind in (ListKind.FAILED, ListKind.CACHED):
             # The list has a fixed capacity for all: calls are spread, and back off after failures.
-            wait = self.settings.rules.ask_within * 0.1 * 2 ** min(self.list_failures, 3)
+            wait = self.settings.rules.ask_within * 0.1 * 2 ** min(self.list_failures, 2)
             if news.kind is ListKind.CACHED:
                 wait *= 0.5
             self.list_due = self.now + wait * self.rng.uniform(0.1, 1.0)
