--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -46,7 +46,6 @@
 SLOTS = 4.0  # of a worker, as a guess, of which own started jobs take some
 SHY_MS = 300.0  # a worker that had no room is passed over this long; doubles with each repeat
 SHY_DOUBLINGS = 5  # at most, so that a suspect worker is tried again by real jobs within seconds
-OVERDUE = 2.5  # progress periods without news after which a started job counts as stalled
 ASK_TICKS = 2.0  # ticks to wait for the answers of asked workers before asking more
 ASK_WIDTH = 2  # drawn workers asked at once for one job; it goes to the one with most room
 REPORT_LAG = 600.0  # ms for which own sends may be missing from a worker's reports
--- a/tests/test_gearman_front.py
+++ b/tests/test_gearman_front.py
@@ -141,6 +141,23 @@
     run()
 
 
+@story
+async def test_a_worker_has_as_long_as_it_said() -> None:
+    """CAN_DO_TIMEOUT ends the hop long before the class's deadline, and its worker's connection with it."""
+    async with program(front=FRONT) as running:
+        worker, client = [await GearmanPeer.to(running.gearman_port) for _ in range(2)]
+        worker.say(Kind.CAN_DO_TIMEOUT, b"book_pallet", b"1")
+        await worker.register()
+        handle = await client.submit(b"book_pallet", b"b1", b"six")
+        await worker.expect(Kind.NOOP)
+        worker.say(Kind.GRAB_JOB_ALL)
+        assert (await worker.expect(Kind.JOB_ASSIGN_ALL))[1:] == [b"book_pallet", b"b1", b"", b"six"]
+        begun = asyncio.get_running_loop().time()
+        assert await client.expect(Kind.WORK_FAIL) == [handle]
+        assert asyncio.get_running_loop().time() - begun < 5
+        assert await worker.reader.read() == b""
+
+
 @story
 async def test_bad_packets_are_said_so_and_closed_and_split_ones_are_put_together() -> None:
     async with Planner("p1") as planner, program(planner, front=FRONT) as running:
