SIGHUP reads the configuration again and follows discovery to its new address

Cause: `Scheduler.run` set handlers for SIGTERM and SIGINT only, so SIGHUP's default ended the program. Ruled out: memory (19 of 80 MB), descriptors. The file is read again; one that is no use is logged and nothing changes. A new discovery address becomes the event `ListMoved`: the module drops its back-off and asks again within 0.1 s, from the version it knows. Routes, exchanges and hops stay. What remains listed for a pending look is no longer pushed back by a later failure (`list_due`).

--- a/pipitshed/decisions/interface.py
+++ b/pipitshed/decisions/interface.py
@@ -188,6 +188,11 @@
     entries: tuple[Entry, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ListMoved:
+    """The worker list is served elsewhere from now on; a watch at the old place tells no more."""
+
+
 @dataclass(frozen=True, slots=True)
 class Submitted:
     """A client's job has come in."""
@@ -269,7 +274,8 @@
     data: bytes
 
 
-Event = ListNews | Submitted | FirstByte | Note | Probed | Finished | Withdrawn | TimerFired | PeerMessage
+Event = (ListNews | ListMoved | Submitted | FirstByte | Note | Probed | Finished | Withdrawn | TimerFired
+         | PeerMessage)
 
 
 # ---- actions
--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -15,9 +15,9 @@
 from itertools import accumulate
 
 from pipitshed.decisions.interface import (
-    Action, Cancel, Effect, Entry, Event, Fail, Finished, FirstByte, Group, JobClass, ListKind, ListNews,
-    Note, NoteKind, Outcome, Probe, Probed, Refuse, Send, SetTimer, Settings, State, Submitted, TimerFired,
-    WatchList, Weights, Withdrawn, WorkerId)
+    Action, Cancel, Effect, Entry, Event, Fail, Finished, FirstByte, Group, JobClass, ListKind, ListMoved,
+    ListNews, Note, NoteKind, Outcome, Probe, Probed, Refuse, Send, SetTimer, Settings, State, Submitted,
+    TimerFired, WatchList, Weights, Withdrawn, WorkerId)
 
 WINDOW = 30  # attempts in the estimate of f; the paper's figure
 WINDOW_AGE = 30_000.0  # ms an attempt counts in f: a sparse dispatcher's window fills, an old wave leaves
@@ -52,6 +52,7 @@
 HOLD_PART = 0.5  # part of the aim a job waits in a busy fleet for a worker without a queue
 ASK_PRICE = 0.01  # dearest price of a probe a job at which asking first is worth it
 DEAR_HANDSHAKE = 0.02  # price from which workers without an idle connection are passed over
+MOVED_SPREAD = 0.01  # part of the time within which the list must be asked for, to ask it where it moved
 LIVE_SMOOTHING = 0.1  # weight of a new live list weight: live weights fold in load and lag
 UNRUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))  # these prove it never ran
 
@@ -181,6 +182,8 @@
                 self._note(event)
             elif isinstance(event, ListNews):
                 self._list_news(event)
+            elif isinstance(event, ListMoved):
+                self._list_moved()
             elif isinstance(event, Withdrawn):
                 self._withdrawn(event.job)
             elif isinstance(event, FirstByte):
@@ -207,11 +210,21 @@
             wait = self.settings.rules.ask_within * 0.1 * 2 ** min(self.list_failures, 2)
             if news.kind is ListKind.CACHED:
                 wait *= 0.5
-            self.list_due = self.now + wait * self.rng.uniform(0.1, 1.0)
-            self._set_timer(None, self.list_due)
+            self._ask_list_in(wait * self.rng.uniform(0.1, 1.0))
         elif news.kind is not ListKind.FAILED:
             self.list_failures = 0
 
+    def _list_moved(self) -> None:
+        """Follow the list at once, a little spread as all siblings may be told together: what was found of
+        the old place is void, and a back-off from it would overrun the time after which news counts."""
+        self.list_failures = 0
+        if self.settings.list_on_request:
+            self._ask_list_in(MOVED_SPREAD * self.settings.rules.ask_within * self.rng.random())
+
+    def _ask_list_in(self, wait: float) -> None:
+        self.list_due = min(self.list_due, self.now + wait)
+        self._set_timer(None, self.now + wait)
+
     def _entry(self, entry: Entry) -> None:
         worker = self.workers.get(entry.worker)
         if worker is None:
--- a/pipitshed/exchange/route_table.py
+++ b/pipitshed/exchange/route_table.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
-from pipitshed.decisions.interface import Entry, ListKind, ListNews, State, WorkerId
+from pipitshed.decisions.interface import Entry, ListKind, ListMoved, ListNews, State, WorkerId
 from pipitshed.exchange.parties import EgressTarget
 
 Line = tuple[Entry, EgressTarget]
@@ -14,7 +14,7 @@
 class RouteTable:
     """All egress targets ever listed, and what each source lists now."""
 
-    def __init__(self, post: Callable[[ListNews], None]) -> None:
+    def __init__(self, post: Callable[[ListNews | ListMoved], None]) -> None:
         self._post = post
         self._targets: dict[WorkerId, EgressTarget] = {}
         self._listed: dict[str, dict[WorkerId, Entry]] = {}
@@ -51,3 +51,7 @@
     def failed(self) -> None:
         """A call for the list has failed, or its watch has ended."""
         self._post(ListNews(ListKind.FAILED))
+
+    def moved(self) -> None:
+        """A source that must be asked is at another address; what it has listed stands."""
+        self._post(ListMoved())
--- a/pipitshed/routes/discovery.py
+++ b/pipitshed/routes/discovery.py
@@ -96,6 +96,13 @@
         """The list as this scheduler last had it."""
         self.fill(members, ListKind.CACHED)
 
+    def follow(self, address: tuple[str, int]) -> None:
+        """Discovery is at another address from now on. The watch at the old one tells what it still can,
+        until the decisions ask anew; what is known so far, and its version, stay."""
+        if address != self.address:
+            self.address = address
+            self.table.moved()
+
     def ask(self, watch: bool) -> None:
         """Watch from the version that is known, or ask once for the whole list."""
         if watch:
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -9,7 +9,7 @@
 
 import uvloop
 
-from pipitshed.config import Config, Front
+from pipitshed.config import Config, ConfigError, Front, load
 from pipitshed.egress.gearman import GearmanCarrier, Place
 from pipitshed.egress.http import HttpCarrier
 from pipitshed.exchange.core import Core
@@ -81,11 +81,27 @@
         """Serve until SIGTERM or SIGINT, and then until all that was taken is answered."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.drain)
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         for listener in self.listeners:
             log.info("listening on %s:%d", *listener.address)
         await self._ended.wait()
         log.info("ended: %s", " ".join(f"{name}={count}" for name, count in sorted(self.core.tally.items())))
 
+    def reload(self) -> None:
+        """Read the configuration again and follow discovery to the address it names; exchanges, hops and the
+        route table stay as they are."""
+        # Guards against the end of the program by a file that is half written or wrong: the old one stands.
+        try:
+            config = load()
+        except ConfigError as error:
+            log.error("the configuration stays as it was: %s", error)
+            return
+        if self.discovery is None or config.discovery is None:
+            log.warning("the configuration is read again; discovery can't be followed from or to nowhere")
+            return
+        self.discovery.follow(config.discovery)
+        log.info("the configuration is read again; discovery is at %s:%d", *config.discovery)
+
     def drain(self) -> None:
         """Stop in good order: listen on while clients may still be sent here, answer all, then end."""
         if self._draining:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -136,9 +136,11 @@
         self.planners = planners
         self.generation = 1
         self.watches: asyncio.Queue[Writer] = asyncio.Queue()
+        self.asked: list[int] = []  # the versions that watches asked from
 
     async def serve(self, reader: Reader, writer: Writer) -> None:
-        await _message(reader)
+        line, _, _ = await _message(reader)
+        self.asked.append(int(line.split()[1].rpartition("from=")[2] or 0))
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.tell(writer, True, [planner.line() for planner in self.planners])
         self.watches.put_nowait(writer)
@@ -158,6 +160,12 @@
     port: int
     gearman_port: int
     log: list[str]
+    config: Path
+
+    def reload(self, text: str) -> None:
+        """Replace the configuration file and tell the program."""
+        self.config.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
 
     async def logged(self, text: str) -> None:
         while not any(text in line for line in self.log):
@@ -185,7 +193,7 @@
             sys.executable, "-m", "pipitshed", *command, "--front", str(front_path), cwd=ROOT,
             env=os.environ | {"LB_CONFIG": str(path)}, stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT)
-        running = Program(process, 0, 0, [])
+        running = Program(process, 0, 0, [], path)
         try:
             for place in range(2 if "listen" in front else 1):
                 running.log.append((await process.stdout.readline()).decode())  # type: ignore[union-attr]
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -116,6 +116,40 @@
         assert len(old.runs) == seen
 
 
+@story
+async def test_sighup_follows_discovery_and_keeps_what_runs() -> None:
+    """The failure met: SIGHUP ended the program (exit 129). A file that is no use must change nothing; one
+    that names another discovery is followed at once, from the version known, under a job that runs."""
+    def act(run: Run) -> None:
+        run.say("started")
+
+    async with (Planner("p1", act=act) as old, Planner("p2") as new, Catalog(old) as first,
+                Catalog(old, new) as second, program(old, catalog=first) as running):
+        await first.watches.get()
+        client = await HttpClient.to(running.port)
+        client.ask("a1", "book", Idempotency_Key="k1", X_Deadline="15.000")
+        run = await old.wait_for(1)
+        told = running.config.read_text()
+        running.reload('{"settings": ')
+        await running.logged("stays as it was")
+        running.reload(told.replace(f"127.0.0.1:{first.port}", f"127.0.0.1:{second.port}"))
+        begun = asyncio.get_running_loop().time()
+        watch = await second.watches.get()
+        assert asyncio.get_running_loop().time() - begun < 1.0 and second.asked == [2]
+        second.tell(watch, False, [old.line("draining")])
+        run.say("done", result="kept")
+        assert (await client.answer())[::2] == (200, b"kept")
+        old.act = Run.serve
+        while not new.runs:  # until the news is in
+            client.ask(f"b{len(old.runs)}")
+            assert (await client.answer())[0] == 200
+        seen = len(old.runs)
+        for number in range(10):
+            client.ask(f"c{number}")
+            assert (await client.answer())[0] == 200
+        assert len(old.runs) == seen and len(first.writers) == 1
+
+
 @story
 async def test_what_was_taken_is_answered_after_sigterm() -> None:
     """And until the front has noticed, new connections are still served; idle ones are closed."""
