Serve kept connections for 2 s after SIGTERM, so that a roll leaves nobody without a scheduler

At fault: `HttpFront.drain` closed idle clients and said `Connection: close` from the first moment on. Now it listens 0.5 s, serves those that are connected for 2 s, and then sends them away. As SIGKILL comes 3.7 s on at the earliest, `Core.take` gives what comes after 0.5 s until 3.4 s and no longer: it is answered, not lost. The DNS library is imported only where a front file asks for it: 0.1 of 0.3 s of the start.

--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import Counter
 from collections.abc import Callable, Sequence
@@ -31,6 +32,7 @@
         self.tally: Counter[str] = Counter()
         self.on_idle: Callable[[], None] | None = None
         self.ask_list: Callable[[bool], None] = lambda watch: None  # discovery: a watch, or the whole list
+        self.answer_by = math.inf  # loop time by which what is taken from now on must have its answer
         self._loop = loop
         # The decisions' clock is Unix time, as the planners' starts are told in it; it advances with the
         # monotonic clock, so that a step of the system's moves no deadline. The loop's own time would not
@@ -99,8 +101,10 @@
     def take(self, request: Request, client: Client) -> Exchange:
         """A client's request is wholly in; from now on it is owed one final answer."""
         self._numbers += 1
-        left = max(0.0, request.patience - MARGIN_MS)
-        exchange = Exchange(self._numbers, request, client, monotonic() + left / 1000)
+        now = monotonic()
+        # Near the program's end there is less time than the client would give.
+        left = max(0.0, min(request.patience - MARGIN_MS, (self.answer_by - now) * 1000))
+        exchange = Exchange(self._numbers, request, client, now + left / 1000)
         self._exchanges[exchange.number] = exchange
         self.tally["taken"] += 1
         # Guards against a final answer that never comes: whatever the decisions do, the client gets one.
--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -241,7 +241,7 @@
         self.core = core
         self.reading = reading
         self.ready = False
-        self.draining = False
+        self.draining = False  # each answer says that its connection closes
         self.connections: dict[_Connection, None] = {}
         self._most = most
 
@@ -254,11 +254,6 @@
                     break
         return _Connection(self)
 
-    def drain(self) -> None:
-        """From now on each answer says that its connection closes."""
-        self.ready = False
-        self.draining = True
-
     def close_idle(self) -> None:
         for connection in list(self.connections):
             if connection.idle:
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import signal
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -17,10 +18,14 @@
 from pipitshed.ingress.http import HttpFront, Reading
 from pipitshed.ingress.listener import Listener
 from pipitshed.routes.discovery import Discovery, Listing, Names
-from pipitshed.routes.dns_sd import DnsSd
 from pipitshed.wire.http import BODY_LIMIT
 
+if TYPE_CHECKING:
+    from pipitshed.routes.dns_sd import DnsSd
+
 LISTEN_ON = 0.5  # s after SIGTERM: new connections keep coming for up to 0.4 s
+STAY = 2.0  # s after SIGTERM for which kept connections are served on: a peer may be starting again by then
+ANSWER_BY = 3.4  # s after SIGTERM by which all that came after LISTEN_ON is answered: SIGKILL comes at 3.7 s
 LONGEST_END = 1.0  # s beyond the longest deadline after which nothing can be owed any more
 SETTLE = 0.02  # s between looks whether all is answered
 CLIENTS_PART = 0.4  # part of the descriptors for HTTP clients' connections
@@ -50,6 +55,8 @@
             if config.known is not None:
                 self.discovery.known(config.known)
         if front.dns_server is not None:
+            # Imported where it is asked for: on the platform its library is a third of the time to start.
+            from pipitshed.routes.dns_sd import DnsSd
             self.dns_sd = DnsSd(front.dns_server, front.dns_service, zones, kinds, self.carrier,
                                 self.core.routes, loop)
             self.dns_sd.start()
@@ -103,20 +110,28 @@
         log.info("the configuration is read again; discovery is at %s:%d", *config.discovery)
 
     def drain(self) -> None:
-        """Stop in good order: listen on while clients may still be sent here, answer all, then end."""
+        """Stop in good order: listen on while clients may still be sent here, serve those that are here a
+        little longer, answer all, then end."""
         if self._draining:
             return
         self._draining = True
         longest = max(cls.deadline for cls in self.core.settings.classes) / 1000
         self._end_by = self._loop.time() + LISTEN_ON + longest + LONGEST_END
-        self.front.drain()
+        self.front.ready = False
         self._loop.call_later(LISTEN_ON, self._close_doors)
+        # Guards against a roll in which nobody is left to go to: clients sent away at once find the peer that
+        # was restarted just before still down.
+        self._loop.call_later(STAY, self._send_away)
 
     def _close_doors(self) -> None:
         for listener in self.listeners:
             listener.close()
         if self.gearman is not None:
             self.gearman.closing = True
+        self.core.answer_by = self._loop.time() + ANSWER_BY - LISTEN_ON
+
+    def _send_away(self) -> None:
+        self.front.draining = True
         # A little later, what stood in the listeners' queues has its connection.
         self._loop.call_later(SETTLE, self._end_when_idle)
 
