Draw a job again after its connection broke, where its class allows

A probe that logged each hop's outcome and the idle time of its connection showed resets 0 ms after the write, on connections idle for 0.1 to 0.7 s, each followed by a 500. Idle time does not tell them apart (at most ages more hops were served), so closing early gains nothing. At fault: `_finished` left a RESET to `_allowed`, and as f counts lack of room alone, it gave one attempt. Ruled out: the pool's order and `idleClose` (the planners closed long before it). Now a RESET promises one attempt more; `_may` still holds it to class, group and window.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -111,7 +111,7 @@
         self.asks: list[Worker] = []
         self.offer: Worker | None = None  # of the asked workers the one with most room
         self.ask_round, self.ask_until, self.failures = 0, now, 0
-        self.promised = 0  # attempts that it gets whatever becomes of f: one was called off for the next
+        self.promised = 0  # attempts it gets whatever f is: one was called off for the next, or broke off
         self.slots, self.work, self.unsure, self.wake = event.slots, event.work, UNSURE, math.inf
 
     def outs(self) -> list[Attempt]:
@@ -602,6 +602,10 @@
             if not attempt.counted:
                 self._no_room(worker, event.outcome is Outcome.FULL)
             job.failures += 1
+        elif event.outcome is Outcome.RESET:
+            # Guards against a job given up because a kept connection was stale or a worker died:
+            # that says nothing of room, so f, which counts room alone, would allow no second attempt.
+            job.promised = len(job.attempts) + 1
         elif event.outcome is Outcome.OK:
             took = self.now - attempt.news_at if attempt.started else event.elapsed
             self.means[job.number] += MEAN_SMOOTHING * (took - self.means[job.number])
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -159,6 +159,19 @@
     assert bench.checker.faults == []
 
 
+@pytest.mark.parametrize("effect", [Effect.SAFE, Effect.KEYED, Effect.UNSAFE])
+def test_a_job_whose_connection_broke_is_drawn_again_where_its_class_allows(effect: Effect) -> None:
+    """The failure met: 51 requests on connections that had gone stale, each given up in a fleet with room."""
+    bench = Bench(settings(effect, Group.ZONE, zones=2, tells_start=True), entries(9))
+    fill(bench, 0)
+    first, *_ = sends_of(bench.feed(Submitted(1, 5000.0)))
+    bench.finish(first, 0, Outcome.RESET)
+    again = sends_of(bench.run(bench.now + 100.0))
+    assert len(again) == (0 if effect is Effect.UNSAFE else 1)
+    assert all(send.worker != first.worker for send in again)
+    assert any(isinstance(action, Fail) for action in bench.log) == (effect is Effect.UNSAFE)
+
+
 def test_an_unsafe_job_that_may_have_run_is_failed_not_refused() -> None:
     bench = Bench(settings(Effect.UNSAFE, zones=1), entries(9))
     [send] = sends_of(bench.feed(Submitted(1, 4000.0)))
