Bad clients get an error or a close in 2.5 s, and nothing ambiguous reaches planners

A probe of 60 malformed requests against the program: a silent client and half a request were never ended; two X-Request-Id headers, an id outside ASCII (passed on empty), `1_0` as a deadline and a POST with Upgrade (passed on without its body) were served; trailers replaced what the head said; 100 KB of chunk extensions were read on. An id open from another client went out twice. Ruled out: both lengths at once, bad lengths, unknown classes (400 already), memory (32 of 80 MB). At fault, all in ingress/http.py: no timer on a connection, `on_header` took the last of two values and trailers, `connection` evicted the oldest kept connection though clients that never asked stood by.

--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import re
 import zlib
 from collections import deque
 from collections.abc import Sequence
@@ -19,10 +20,22 @@
 from pipitshed.wire.http import BODY_LIMIT, HEAD_LIMIT
 
 PIPELINED = 8  # requests that may wait behind one on a connection before reading stops
+FIRST_WITHIN = 2.5  # s from connecting by which the first request is whole: a bad client is owed an end in 3
+NEXT_WITHIN = 10.0  # s that a later one may take to come in
+MESSAGE_LIMIT = HEAD_LIMIT + 4 * BODY_LIMIT  # bytes of a request with its chunks' framing and its trailers
+OVER = 1.5  # times the part for clients from which new ones are turned away
+ID_LIMIT = 256  # characters of an id or a key
 
 _REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-            413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-            503: "Service Unavailable"}
+            408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
+            431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+# Told twice, nobody can know which of the two a planner would go by.
+_SINGLE = frozenset((b"x-request-id", b"x-class", b"x-tenant", b"x-deadline", b"x-extras", b"x-retry",
+                     b"x-cost-hint", b"idempotency-key"))
+_NUMBER = re.compile(rb"[+-]?[0-9.]+([eE][+-]?[0-9]+)?")  # narrower than Python's, which takes `1_0`
+_NAME = re.compile(rb"[!-~]{1,%d}" % ID_LIMIT)
 
 
 class MalformedError(ValueError):
@@ -35,7 +48,7 @@
 
 def _number(text: bytes, what: str) -> float:
     try:
-        value = float(text)
+        value = float(text if _NUMBER.fullmatch(text) else b"")
     except ValueError:
         raise MalformedError(400, f"{what} is not a number") from None
     if not math.isfinite(value) or value < 0:
@@ -65,13 +78,16 @@
 
     def request(self, verb: bytes, resource: bytes, head: dict[bytes, bytes], body: bytes) -> Request:
         """MalformedError where it can't be one."""
-        number = head.get(b"x-request-id", b"")
+        number, key = head.get(b"x-request-id", b""), head.get(b"idempotency-key", b"")
         job_class = self._classes.get(head.get(b"x-class", b""))
-        if not number or job_class is None:
-            raise MalformedError(400, "no X-Request-Id" if not number else "no such X-Class")
+        # Guards the planners: an id or a key that can't be handed on as it came must not be handed on.
+        if not _NAME.fullmatch(number) or (key and not _NAME.fullmatch(key)):
+            raise MalformedError(400, "no X-Request-Id or Idempotency-Key that can be handed on")
+        if job_class is None:
+            raise MalformedError(400, "no such X-Class")
         patience = self._core.settings.classes[job_class].deadline
         if b"x-deadline" in head:
-            patience = 1000 * _number(head[b"x-deadline"], "X-Deadline")
+            patience = min(patience, 1000 * _number(head[b"x-deadline"], "X-Deadline"))
         extras: dict[bytes, float] = {}
         for part in head.get(b"x-extras", b"").split(b","):
             name, _, value = part.strip().partition(b"=")
@@ -82,7 +98,7 @@
             number.decode("latin-1"), job_class, patience,
             # A tenant that the settings do not name has a place behind all of theirs, and no share.
             self._tenants.get(head.get(b"x-tenant", b""), len(self._tenants)), body,
-            head.get(b"idempotency-key", b"").decode("latin-1"), _affinity(head.get(b"cookie", b"")),
+            key.decode("latin-1"), _affinity(head.get(b"cookie", b"")),
             verb.decode("latin-1"), resource.decode("latin-1"), slots=extras.get(b"slots", 1.0) or 1.0,
             memory=extras.get(b"memory", 0.0), hint=_number(hint, "X-Cost-Hint") if hint else None,
             repeat=head.get(b"x-retry", b"") == b"1")
@@ -99,34 +115,78 @@
         self._resource = b""
         self._headers: dict[bytes, bytes] = {}
         self._head_size = 0  # bytes of a head that is not whole yet; -1 in a body
+        self._size = 0  # bytes of a request that is not whole yet, all told
+        self._begun = False  # a request has begun to come in
+        self._due: asyncio.TimerHandle | None = None  # the request must be whole by then
+        self._id = ""  # of the request that is open
         self._waiting: deque[Request | int] = deque()  # requests in order; a number is an answer's status
         self._exchange: Exchange | None = None
         self._last = False  # nothing more is read
-        self._paused = False
+        self._paused = self._clogged = False  # reading rests; answers are not read
 
     # ---- what comes in
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are none by inheritance
-        self._front.connections[self] = None
+        self._front.connections[self] = self._front.unproven[self] = None
+        self._due = self._front.loop.call_later(FIRST_WITHIN, self._too_late)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._front.connections.pop(self, None)
+        self._front.unproven.pop(self, None)
+        self._in_time()
         self._waiting.clear()
         if self._exchange is not None:
             exchange, self._exchange = self._exchange, None
+            self._front.open_ids.discard(self._id)
             self._front.core.withdraw(exchange)
 
+    def pause_writing(self) -> None:
+        # Guards the memory limit against a client that asks on and does not read its answers.
+        self._clogged = True
+        self._stop_reading()
+
+    def resume_writing(self) -> None:
+        self._clogged = False
+        self._read_on()
+
+    def _stop_reading(self) -> None:
+        if self._transport is not None and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def _read_on(self) -> None:
+        if self._paused and self._transport is not None and not self._transport.is_closing() and (
+                not self._clogged and len(self._waiting) <= PIPELINED):
+            self._paused = False
+            self._transport.resume_reading()
+
+    def _in_time(self) -> None:
+        if self._due is not None:
+            self._due.cancel()
+            self._due = None
+
+    def _too_late(self) -> None:
+        """Guards against clients that send nothing, or half a request, and stay."""
+        self._due = None
+        if self._begun:
+            self._refuse_to_read(408)
+        else:
+            self.close()
+
     def data_received(self, data: bytes) -> None:
         if self._last:
             return
         # Guards against a head without end, which the parser itself would keep whole.
         if self._head_size >= 0:
             self._head_size += len(data)
+        self._size += len(data)
         try:
             self._parser.feed_data(data)
             if self._head_size > HEAD_LIMIT:
                 raise MalformedError(431, "the head is too long")
+            if self._size > MESSAGE_LIMIT:
+                raise MalformedError(413, "the framing is too long")
         except httptools.HttpParserUpgrade:
             self._refuse_to_read(400)
         except httptools.HttpParserError as error:
@@ -139,23 +199,34 @@
 
     def _refuse_to_read(self, status: int) -> None:
         """What came can't be read: say so behind the answers that are owed, then close."""
-        self._last = True
-        self._waiting.append(status)
-        self._next()
+        if not self._last:
+            self._last = True
+            self._waiting.append(status)
+            self._next()
 
     def on_message_begin(self) -> None:
+        self._begun = True
         self._resource = b""
         self._headers = {}
         self._buffer.take_all()
+        if self._due is None:
+            self._due = self._front.loop.call_later(NEXT_WITHIN, self._too_late)
 
     def on_url(self, url: bytes) -> None:
         self._resource += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers[name.lower()] = value
+        name = name.lower()
+        if self._head_size < 0:
+            return  # a trailer: what the head said stands
+        if name in _SINGLE and name in self._headers:
+            raise MalformedError(400, f"{name.decode()} is told twice")
+        self._headers[name] = value
 
     def on_headers_complete(self) -> None:
         self._head_size = -1
+        if self._parser.should_upgrade():
+            raise MalformedError(400, "no other protocol is spoken here")  # its body would not be read
         length = self._headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > BODY_LIMIT:
             raise MalformedError(413, "the body is too long")
@@ -166,7 +237,10 @@
         self._buffer.append(data)
 
     def on_message_complete(self) -> None:
-        self._head_size = 0
+        self._head_size = self._size = 0
+        self._begun = False
+        self._in_time()
+        self._front.unproven.pop(self, None)
         if not self._parser.should_keep_alive():
             self._last = True
         verb: bytes = self._parser.get_method()
@@ -179,34 +253,39 @@
         else:
             self._waiting.append(self._front.reading.request(verb, self._resource, self._headers, body))
         self._next()
-        if len(self._waiting) > PIPELINED and self._transport is not None and not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
+        if len(self._waiting) > PIPELINED:
+            self._stop_reading()
 
     # ---- what goes out
 
     @property
     def idle(self) -> bool:
         """Whether nothing is owed and no request has begun to come in."""
-        return self._exchange is None and not self._waiting and self._head_size == 0
+        return self._exchange is None and not self._waiting and not self._begun
 
     def _next(self) -> None:
         """Take the request that is next in order."""
         while self._exchange is None and self._waiting and self._transport is not None:
-            if self._paused and len(self._waiting) <= PIPELINED and not self._transport.is_closing():
-                self._paused = False
-                self._transport.resume_reading()
             first = self._waiting.popleft()
+            self._read_on()
             if isinstance(first, int):
                 self._write(first)
+            elif first.id in self._front.open_ids:
+                # Guards against another client's use of an open id: planners tell requests apart by it.
+                self._write(409)
             else:
+                self._id = first.id
+                self._front.open_ids.add(first.id)
                 self._exchange = self._front.core.take(first, self)
 
     def _write(self, status: int, body: bytes = b"", extra: str = "") -> None:
-        self._exchange = None
+        if self._exchange is not None:
+            self._exchange = None
+            self._front.open_ids.discard(self._id)
         transport = self._transport
         if transport is None or transport.is_closing():
             return
+        self._front.used(self)
         final = (self._last or self._front.draining) and not self._waiting
         close = "Connection: close\r\n" if final else ""
         transport.write(f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}\r\n"
@@ -237,23 +316,36 @@
 class HttpFront:
     """All HTTP clients' connections."""
 
-    def __init__(self, core: Core, reading: Reading, most: int) -> None:
+    def __init__(self, core: Core, reading: Reading, most: int, loop: asyncio.AbstractEventLoop) -> None:
         self.core = core
         self.reading = reading
+        self.loop = loop
         self.ready = False
         self.draining = False  # each answer says that its connection closes
-        self.connections: dict[_Connection, None] = {}
+        self.connections: dict[_Connection, None] = {}  # the last used last
+        self.unproven: dict[_Connection, None] = {}  # no whole request has come on these; the oldest first
+        self.open_ids: set[str] = set()
         self._most = most
 
     def connection(self) -> _Connection:
-        """A new client's connection; where there are too many, the one idle for longest is closed."""
+        """A new client's connection; where there are too many, one makes room: the oldest on which no request
+        has come, so that clients that only connect never cost a usual one its own, else the longest idle."""
         if len(self.connections) >= self._most:
-            for connection in self.connections:
-                if connection.idle:
-                    connection.close()
-                    break
+            victim = next(iter(self.unproven), None) or next(
+                (connection for connection in self.connections if connection.idle), None)
+            if victim is not None:
+                victim.close()
         return _Connection(self)
 
+    def has_room(self) -> bool:
+        """Whether hops and discovery would keep the descriptors they need; busy clients make no room."""
+        return len(self.connections) < self._most * OVER
+
+    def used(self, connection: _Connection) -> None:
+        """It has just carried an answer."""
+        if self.connections.pop(connection, 0) is None:
+            self.connections[connection] = None
+
     def close_idle(self) -> None:
         for connection in list(self.connections):
             if connection.idle:
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -61,8 +61,8 @@
                                 self.core.routes, loop)
             self.dns_sd.start()
         self.front = HttpFront(self.core, Reading(self.core, config.classes, config.tenants),
-                               int(config.sockets * CLIENTS_PART))
-        self.listeners = [Listener(config.listen, self.front.connection, loop)]
+                               int(config.sockets * CLIENTS_PART), loop)
+        self.listeners = [Listener(config.listen, self.front.connection, loop, self.front.has_room)]
         if front.listen:
             gearman = self.gearman = self._gearman(config, front, zones, kinds)
             self.listeners += [Listener(address, gearman.connection, loop, gearman.has_room)
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -229,3 +229,77 @@
         assert asyncio.get_running_loop().time() - answered < 1.0
         client.ask("a2")
         assert (await client.answer())[0] == 200 and len(planner.writers) == 2
+
+
+def post(*lines: str, body: str = "abc") -> bytes:
+    """A request with these lines in its head beside the class and the body's length."""
+    told = ("X-Class: quote", f"Content-Length: {len(body)}", *lines)
+    return ("POST /api HTTP/1.1\r\n" + "".join(f"{line}\r\n" for line in told) + "\r\n" + body).encode()
+
+
+@story
+async def test_what_could_be_read_in_two_ways_is_not_passed_on() -> None:
+    """Told twice, a body of two lengths, names that can't be handed on unchanged: 400, and no planner hears
+    of it. A trailer does not replace what the head said."""
+    async with Planner("p1") as planner, program(planner) as running:
+        for text in [
+                post("X-Request-Id: a1", "X-Request-Id: a2"), post("X-Request-Id: a\xe9"), post(),
+                post("X-Request-Id: a1", "Transfer-Encoding: chunked"),
+                post("X-Request-Id: a1", "X-Deadline: 1_0"), post("X-Request-Id: a1", "X-Deadline: nan"),
+                post("X-Request-Id: a1", "Upgrade: h2c", "Connection: Upgrade")]:
+            client = await HttpClient.to(running.port)
+            client.writer.write(text)
+            assert (await client.answer())[0] == 400
+            assert await client.reader.read() == b""
+        assert not planner.runs
+        client = await HttpClient.to(running.port)
+        client.writer.write(b"POST /api HTTP/1.1\r\nX-Class: quote\r\nX-Request-Id: b1\r\n"
+                            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Request-Id: b2\r\n\r\n")
+        assert (await client.answer())[::2] == (200, b"plan of abc")
+        assert planner.runs[0].headers["x-request-id"] == "b1"
+
+
+@story
+async def test_clients_that_send_nothing_or_half_a_request_are_ended_in_time() -> None:
+    """Each gets an error or a close within 3 s; one whose request runs for longer keeps its connection, even
+    with the first bytes of another behind it."""
+    async with Planner("p1", act=lambda run: run.say("started")) as planner, program(planner) as running:
+        begun = asyncio.get_running_loop().time()
+        silent, half, usual = [await HttpClient.to(running.port) for _ in range(3)]
+        half.writer.write(post("X-Request-Id: a1")[:-1])
+        usual.writer.write(post("X-Request-Id: a2") + b"POST")
+        run = await planner.wait_for(1)
+        assert (await half.answer())[0] == 408 and await half.reader.read() == b""
+        assert await silent.reader.read() == b""
+        assert asyncio.get_running_loop().time() - begun < 3.0
+        run.say("done", result="late")
+        assert (await usual.answer())[::2] == (200, b"late")
+
+
+@story
+async def test_an_id_that_is_open_is_not_taken_from_another_client() -> None:
+    """Two copies at the planners would break the rule on duplicates: the later one is refused."""
+    async with Planner("p1", act=lambda run: run.say("started")) as planner, program(planner) as running:
+        usual, other = await HttpClient.to(running.port), await HttpClient.to(running.port)
+        usual.ask("a1")
+        run = await planner.wait_for(1)
+        other.ask("a1")
+        assert (await other.answer())[0] == 409
+        run.say("done", result="mine")
+        assert (await usual.answer())[::2] == (200, b"mine")
+        planner.act = Run.serve
+        other.ask("a1")
+        assert (await other.answer())[0] == 200
+
+
+@story
+async def test_clients_that_only_connect_cost_a_usual_client_nothing() -> None:
+    """Guards against eviction of kept connections: the oldest that never asked make room first."""
+    async with Planner("p1") as planner, program(planner, sockets=40) as running:
+        usual = await HttpClient.to(running.port)
+        usual.ask("a1")
+        assert (await usual.answer())[0] == 200
+        silent = [await HttpClient.to(running.port) for _ in range(40)]
+        assert await silent[0].reader.read() == b""
+        usual.ask("a2")
+        assert (await usual.answer())[0] == 200 and len(planner.runs) == 2
