Gearman stories for a lost worker: redrawn where the class allows, once only where it forbids

Seen: two stories failed since jobs are drawn again after a reset: they held that a keyed job is never repeated, though class `book` allows it in its zone and window.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -31,6 +31,9 @@
     "stats": {"fields": ["x0", "x1", "load_share"], "source": "on_probe"},
     "tenants": [{"name": "andes-retail", "share": 1.0, "allowancePerS": 1000.0}]}
 
+# The same, with a class `book` that nobody would drop a repeat of.
+ONCE = {"services": [SETTINGS["services"][0], SETTINGS["services"][1] | {"repeat": "fragile"}]}
+
 Reader, Writer = asyncio.StreamReader, asyncio.StreamWriter
 
 
