--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -39,6 +39,7 @@
 START_PART = 0.1  # part of the class's aim within which a sent job should have started
 START_DEAR = 3.0  # what is added to it for each unit of price of a connection: a cancel closes one
 TURNED_PART = 6.0  # what is added to it for the part of attempts that workers turned away
+STALLED = 1.75  # times the progress interval without a note, from which a started job has stalled; some skip
 SLOW = 2.0  # times the mean pace from which a worker counts as slow
 PACE_AGE = 10_000.0  # ms after which what was seen of a worker's pace is void
 MEAN_SMOOTHING = 0.05  # weight of a new sample in the mean pace and run times
@@ -86,12 +87,12 @@
 class Attempt:
     """One send of a job."""
 
-    __slots__ = ("worker", "sent_at", "out", "started", "news_at", "counted", "cancelled", "unrun",
-                 "served")
+    __slots__ = ("worker", "sent_at", "out", "started", "news_at", "heard_at", "counted", "cancelled",
+                 "unrun", "served")
 
     def __init__(self, worker: Worker, now: float) -> None:
         self.worker = worker
-        self.sent_at = self.news_at = now
+        self.sent_at = self.news_at = self.heard_at = now
         self.out = True
         self.started = self.counted = self.cancelled = self.unrun = self.served = False
 
@@ -519,6 +520,7 @@
             for attempt in outs:
                 if not attempt.started:
                     self._cancel(job, attempt)
+            self._watch_progress(job, running)
             return
         due = max(attempt.sent_at for attempt in outs) + self._bound(job)
         if self.now < due:
@@ -537,6 +539,24 @@
             for attempt in outs:
                 self._cancel(job, attempt)
 
+    def _watch_progress(self, job: Job, running: list[Attempt]) -> None:
+        """Draw a job again whose worker has fallen silent, where its class allows: a machine that vanished or
+        was cut off closes no connection, and without this its jobs wait there until their deadline."""
+        due = max(attempt.heard_at for attempt in running) + STALLED * self.settings.progress
+        cls, limits = job.cls, self.settings.limits
+        if not self.settings.progress or not limits.cancel or len(job.attempts) >= limits.max_attempts or (
+                cls.effect is Effect.UNSAFE) or (
+                cls.effect is Effect.KEYED and due > job.attempts[0].sent_at + cls.window):
+            return
+        if self.now < due:
+            self._wake(job, due)
+            return
+        job.promised = len(job.attempts) + 1
+        for attempt in running:
+            if not attempt.cancelled:
+                self._no_room(attempt.worker)
+                self._cancel(job, attempt)
+
     def _cancel(self, job: Job, attempt: Attempt) -> None:
         if self.settings.limits.cancel and not attempt.cancelled:
             attempt.cancelled = True
@@ -647,15 +667,17 @@
         attempt = job.attempts[event.attempt]
         if event.kind == NoteKind.STARTED and not attempt.started:
             attempt.started = True
-            attempt.news_at = self.now
+            attempt.news_at = attempt.heard_at = self.now
             attempt.worker.unstarted = max(0, attempt.worker.unstarted - 1)
             attempt.worker.held += job.slots
             if not attempt.counted:
                 self._room(attempt.worker)
             attempt.counted = True
             self._step(job)
-        elif event.kind == NoteKind.PROGRESS and event.done > LEAST_DONE:
-            self._paced(job, attempt, event.done)
+        elif event.kind == NoteKind.PROGRESS:
+            attempt.heard_at = self.now
+            if event.done > LEAST_DONE:
+                self._paced(job, attempt, event.done)
 
     def _paced(self, job: Job, attempt: Attempt, done: float) -> None:
         """Learn how fast a worker works, where jobs come with a hint of their work."""
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -172,6 +172,24 @@
     assert any(isinstance(action, Fail) for action in bench.log) == (effect is Effect.UNSAFE)
 
 
+@pytest.mark.parametrize("effect", [Effect.SAFE, Effect.KEYED, Effect.UNSAFE])
+def test_a_started_job_whose_worker_falls_silent_is_drawn_again(effect: Effect) -> None:
+    """The failure met: a machine that is cut off closes nothing; its jobs waited for their deadline."""
+    limits = Limits(cancel=True, max_attempts=4)
+    bench = Bench(settings(effect, zones=1, tells_start=True, progress=1000.0, limits=limits), entries(9))
+    [first] = sends_of(bench.feed(Submitted(1, 5000.0)))
+    bench.feed(Note(1, 0, first.worker, NoteKind.STARTED))
+    bench.run(bench.now + 1000.0)
+    bench.feed(Note(1, 0, first.worker, NoteKind.PROGRESS, 0.01))
+    assert Cancel(1, 0) not in bench.run(bench.now + 1700.0)
+    again = Cancel(1, 0) in bench.run(bench.now + 100.0)
+    assert again == (effect is not Effect.UNSAFE)
+    if again:
+        bench.finish(first, 0, Outcome.CANCELLED)
+        [second] = sends_of(bench.run(bench.now + 100.0))
+        assert second.worker != first.worker
+
+
 def test_an_unsafe_job_that_may_have_run_is_failed_not_refused() -> None:
     bench = Bench(settings(Effect.UNSAFE, zones=1), entries(9))
     [send] = sends_of(bench.feed(Submitted(1, 4000.0)))
