Tell the module of kept connections that close, so that it draws for none that are gone

What the module believes: each OK leaves one connection free (`worker.idle`), for `idleClose`. What the sockets say: 45 were closed right after an answer, 115 while idle; nothing told it, so its draws preferred workers whose connections had gone, and each opened one. Now egress.http posts `LinkLost` for each connection that it was credited with, once, when that closes.

--- a/pipitshed/decisions/interface.py
+++ b/pipitshed/decisions/interface.py
@@ -193,6 +193,13 @@
     """The worker list is served elsewhere from now on; a watch at the old place tells no more."""
 
 
+@dataclass(frozen=True, slots=True)
+class LinkLost:
+    """A connection that an attempt's OK, ERROR or FULL had left free has closed."""
+
+    worker: WorkerId
+
+
 @dataclass(frozen=True, slots=True)
 class Submitted:
     """A client's job has come in."""
@@ -274,8 +281,8 @@
     data: bytes
 
 
-Event = (ListNews | ListMoved | Submitted | FirstByte | Note | Probed | Finished | Withdrawn | TimerFired
-         | PeerMessage)
+Event = (ListNews | ListMoved | LinkLost | Submitted | FirstByte | Note | Probed | Finished | Withdrawn
+         | TimerFired | PeerMessage)
 
 
 # ---- actions
--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -15,9 +15,9 @@
 from itertools import accumulate
 
 from pipitshed.decisions.interface import (
-    Action, Cancel, Effect, Entry, Event, Fail, Finished, FirstByte, Group, JobClass, ListKind, ListMoved,
-    ListNews, Note, NoteKind, Outcome, Probe, Probed, Refuse, Send, SetTimer, Settings, State, Submitted,
-    TimerFired, WatchList, Weights, Withdrawn, WorkerId)
+    Action, Cancel, Effect, Entry, Event, Fail, Finished, FirstByte, Group, JobClass, LinkLost, ListKind,
+    ListMoved, ListNews, Note, NoteKind, Outcome, Probe, Probed, Refuse, Send, SetTimer, Settings, State,
+    Submitted, TimerFired, WatchList, Weights, Withdrawn, WorkerId)
 
 WINDOW = 30  # attempts in the estimate of f; the paper's figure
 WINDOW_AGE = 30_000.0  # ms an attempt counts in f: a sparse dispatcher's window fills, an old wave leaves
@@ -183,6 +183,8 @@
                 self._note(event)
             elif isinstance(event, ListNews):
                 self._list_news(event)
+            elif isinstance(event, LinkLost):
+                self._link_lost(event.worker)
             elif isinstance(event, ListMoved):
                 self._list_moved()
             elif isinstance(event, Withdrawn):
@@ -289,6 +291,12 @@
         return self.settings.prices.handshake < DEAR_HANDSHAKE or (
             worker.idle > 0 and self.now - worker.idle_at < self.settings.limits.idle_close)
 
+    def _link_lost(self, number: WorkerId) -> None:
+        """Guards against draws that prefer a worker for connections it has closed: each would open one."""
+        worker = self.workers.get(number)
+        if worker is not None:
+            worker.idle = max(0, worker.idle - 1)
+
     def _doubt(self, worker: Worker, job: Job) -> bool:
         if worker.shy_until > self.now or worker.asked:
             return True
--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -79,6 +79,7 @@
         self._reader = Reader(self, LINE_LIMIT)
         self._transport: asyncio.Transport | None = None
         self._unwritten = False
+        self.left: EgressTarget | None = None  # whose hop left this connection free, as the decisions hold
         self._status = 0
         self._told = False  # the outcome of what this connection carries has been reported
 
@@ -134,6 +135,8 @@
         self._end(Outcome.CONNECT_FAILED if self._unwritten else Outcome.RESET)
         if self.idle_timer is not None:
             self.idle_timer.cancel()
+        if self.left is not None:
+            self._carrier.core.link_lost(self.left)
         self._carrier.lost(self)
 
     def head_came(self, status: int) -> None:
@@ -196,6 +199,8 @@
         self._told = True
         core = self._carrier.core
         if self.hop is not None:
+            if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
+                self.left = self.hop.target
             core.hop_ended(self.hop, outcome, result, report)
         elif self.probed is not None:
             core.probe_ended(self.probed, outcome, (self._carrier.loop.time() - self.begun) * 1000, report)
@@ -272,6 +277,7 @@
 
     def _write_hop(self, connection: _Connection, hop: Hop) -> None:
         connection.hop, hop.link, hop.ran = hop, connection, True
+        connection.left = None
         connection.write(request_bytes(hop, hop.deadline - self.loop.time()))
 
     async def _connect_for_hop(self, hop: Hop) -> None:
--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -11,8 +11,8 @@
 from time import monotonic
 
 from pipitshed.decisions.interface import (
-    Action, Cancel, CloseIdle, Event, Fail, FetchList, Finished, Log, Note, NoteKind, Outcome, Probe, Probed,
-    Refuse, Send, SetTimer, Settings, Submitted, TimerFired, WatchList, Withdrawn)
+    Action, Cancel, CloseIdle, Event, Fail, FetchList, Finished, LinkLost, Log, Note, NoteKind,
+    Outcome, Probe, Probed, Refuse, Send, SetTimer, Settings, Submitted, TimerFired, WatchList, Withdrawn)
 from pipitshed.decisions.rules import Dispatcher
 from pipitshed.exchange.parties import Client, EgressTarget, Exchange, Hop, Request
 from pipitshed.exchange.route_table import RouteTable
@@ -206,6 +206,10 @@
             (monotonic() - hop.sent_at) * 1000, exchange.settled, tuple(report)))
         self._forget(exchange)
 
+    def link_lost(self, target: EgressTarget) -> None:
+        """A connection that an ended hop had left free has closed."""
+        self.post(LinkLost(target.id))
+
     def probe_ended(self, target: EgressTarget, outcome: Outcome, elapsed: float,
                     report: Sequence[float] = ()) -> None:
         """What one probe found."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,13 +4,16 @@
 import errno
 import socket
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 from helpers import entries, settings
+from loopback import Planner, Run
 
-from pipitshed.decisions.interface import ListKind
+from pipitshed.decisions.interface import Event, Finished, LinkLost, ListKind, Note
+from pipitshed.egress.http import HttpCarrier
 from pipitshed.exchange.core import Core
-from pipitshed.exchange.parties import EgressTarget
+from pipitshed.exchange.parties import EgressTarget, Exchange, Hop, Request
 from pipitshed.ingress.listener import Listener
 
 
@@ -38,6 +41,37 @@
     asyncio.run(run())
 
 
+def test_the_decisions_hear_of_a_kept_connection_that_closes() -> None:
+    """The failure met: planners that closed right after an answer were drawn for connections long closed, and
+    each such draw opened one."""
+    async def run() -> None:
+        lost = asyncio.Event()
+
+        def close(run: Run) -> None:
+            run.serve()
+            run.writer.close()
+
+        async with Planner("p1", act=close) as planner:
+            loop = asyncio.get_running_loop()
+            core = Core(settings(), 1, loop)
+            events: list[Event] = []
+
+            def post(event: Event) -> None:
+                events.append(event)
+                if isinstance(event, LinkLost):
+                    lost.set()
+
+            core.post = post  # type: ignore[method-assign]
+            carrier = HttpCarrier(core, [], loop)
+            target = EgressTarget(b"p1", carrier, ("127.0.0.1", planner.port))
+            exchange = Exchange(1, Request("a1", 0, 5000.0, 0), Mock(), loop.time() + 5)
+            carrier.carry(Hop(exchange, 0, target, loop.time(), loop.time() + 5))
+            await asyncio.wait_for(lost.wait(), 5)
+            assert [type(event) for event in events] == [Note, Finished, LinkLost]
+
+    asyncio.run(run())
+
+
 def test_a_failed_accept_does_not_lose_the_listener(monkeypatch: pytest.MonkeyPatch) -> None:
     """Out of descriptors for once: the client in the queue is served when there are some again."""
     async def run() -> None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -16,6 +16,7 @@
     Group,
     JobClass,
     Limits,
+    LinkLost,
     ListKind,
     ListNews,
     Note,
@@ -264,6 +265,20 @@
     assert used(0.12) < used(0.0) / 2
 
 
+def test_a_worker_whose_kept_connection_has_closed_is_no_longer_preferred() -> None:
+    def used(closes: bool) -> int:
+        bench = Bench(settings(zones=1, prices=Prices(handshake=0.12)), entries(4))
+        workers = set()
+        for job in range(1, 31):
+            [send] = serve(bench, 1, first=job)
+            workers.add(send.worker)
+            if closes:
+                bench.feed(LinkLost(send.worker))
+        return len(workers)
+
+    assert used(closes=False) == 1 and used(closes=True) == 4
+
+
 def test_the_start_bound_grows_where_workers_turn_away() -> None:
     bench = Bench(settings(zones=1, tells_start=True), entries(9))
     bench.feed(Submitted(1, 4000.0))
