Read on for a moment after an error, so that the client gets it and not a reset

At fault: `_write` closed at once. Now it ends its sending, throws away what comes for 0.5 s or 1 MB, and closes.

--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -23,6 +23,8 @@
 FIRST_WITHIN = 2.5  # s from connecting by which the first request is whole: a bad client is owed an end in 3
 NEXT_WITHIN = 10.0  # s that a later one may take to come in
 MESSAGE_LIMIT = HEAD_LIMIT + 4 * BODY_LIMIT  # bytes of a request with its chunks' framing and its trailers
+LINGER = 0.5  # s for which more is read and thrown away after an error, so that the client can read it
+LINGER_BYTES = 1024 * 1024  # of it at most
 OVER = 1.5  # times the part for clients from which new ones are turned away
 ID_LIMIT = 256  # characters of an id or a key
 
@@ -122,6 +124,7 @@
         self._waiting: deque[Request | int] = deque()  # requests in order; a number is an answer's status
         self._exchange: Exchange | None = None
         self._last = False  # nothing more is read
+        self._refused = False  # as what came can't be
         self._paused = self._clogged = False  # reading rests; answers are not read
 
     # ---- what comes in
@@ -176,6 +179,9 @@
 
     def data_received(self, data: bytes) -> None:
         if self._last:
+            self._size += len(data)
+            if self._size > LINGER_BYTES:
+                self.close()
             return
         # Guards against a head without end, which the parser itself would keep whole.
         if self._head_size >= 0:
@@ -200,7 +206,7 @@
     def _refuse_to_read(self, status: int) -> None:
         """What came can't be read: say so behind the answers that are owed, then close."""
         if not self._last:
-            self._last = True
+            self._last = self._refused = True
             self._waiting.append(status)
             self._next()
 
@@ -290,7 +296,12 @@
         close = "Connection: close\r\n" if final else ""
         transport.write(f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}\r\n"
                         f"Content-Length: {len(body)}\r\n{extra}{close}\r\n".encode() + body)
-        if final:
+        if final and self._refused and not transport.is_closing():
+            # Guards the error's way to the client: a close with bytes unread would reset the connection.
+            transport.write_eof()
+            self._in_time()
+            self._due = self._front.loop.call_later(LINGER, self.close)
+        elif final:
             transport.close()
 
     def served(self, result: bytes) -> None:
