Give a keyed job that broke off all its attempts, as its client must not ask again

A log of each hop showed books that were reset (most 0 ms after the write), then refused or turned away once, and then failed with 3 or 4 attempts left: what may have run can't be refused, so its client does not come back. Quotes given up there were refused and came back. At fault: `_place` held them to Equation 2, and a RESET's promise was used up by the next CONNECT_FAILED or FULL. Ruled out: `max_attempts` (5, none used it up), the 25 s window, the zone (7 planners in it). Now broken attempts don't count against Equation 2, and such a keyed job gets all attempts of its zone and window.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -101,7 +101,8 @@
     """One client's job until its final answer and its last outcome."""
 
     __slots__ = ("id", "cls", "number", "deadline", "came", "attempts", "over", "stream", "resume", "asks",
-                 "ask_round", "ask_until", "offer", "failures", "slots", "unsure", "work", "wake", "promised")
+                 "ask_round", "ask_until", "offer", "failures", "slots", "unsure", "work", "wake", "promised",
+                 "broken")
 
     def __init__(self, event: Submitted, cls: JobClass, now: float) -> None:
         self.id, self.cls, self.number, self.came = event.job, cls, event.job_class, now
@@ -112,7 +113,8 @@
         self.asks: list[Worker] = []
         self.offer: Worker | None = None  # of the asked workers the one with most room
         self.ask_round, self.ask_until, self.failures = 0, now, 0
-        self.promised = 0  # attempts it gets whatever f is: one was called off for the next, or broke off
+        self.promised = 0  # attempts that it gets whatever becomes of f: one was called off for the next
+        self.broken = 0  # attempts whose connection broke
         self.slots, self.work, self.unsure, self.wake = event.slots, event.work, UNSURE, math.inf
 
     def outs(self) -> list[Attempt]:
@@ -448,12 +450,16 @@
 
     def _place(self, job: Job) -> None:
         """Send the job to a drawn worker, or ask drawn workers first where that is cheap."""
-        may_send = self._may(job)[0]
-        if not may_send or len(job.attempts) >= max(job.promised, self._allowed(job)):
+        may_send, _, refusable = self._may(job)
+        # What broke off and can't be refused would be lost to its client, who must not ask again: nobody else
+        # can repeat it, so it gets all the attempts that there are.
+        alone = bool(job.broken) and not refusable and not job.outs()
+        allowed = self.settings.limits.max_attempts if alone else self._allowed(job) + job.broken
+        if not may_send or len(job.attempts) >= max(job.promised, allowed):
             if not job.outs():
                 self._close(job)
             return
-        if job.attempts and self.now > job.came + job.cls.aim and (self._f() or 0.0) > BUSY:
+        if job.attempts and not alone and self.now > job.came + job.cls.aim and (self._f() or 0.0) > BUSY:
             # Too late to be in time, and others still could be: not one more attempt in a busy fleet.
             if not job.outs():
                 self._close(job)
@@ -631,8 +637,8 @@
             job.failures += 1
         elif event.outcome is Outcome.RESET:
             # Guards against a job given up because a kept connection was stale or a worker died:
-            # that says nothing of room, so f, which counts room alone, would allow no second attempt.
-            job.promised = len(job.attempts) + 1
+            # that says nothing of room, and f, which counts room alone, would allow no second attempt.
+            job.broken += 1
         elif event.outcome is Outcome.OK:
             took = self.now - attempt.news_at if attempt.started else event.elapsed
             self.means[job.number] += MEAN_SMOOTHING * (took - self.means[job.number])
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -173,6 +173,22 @@
     assert any(isinstance(action, Fail) for action in bench.log) == (effect is Effect.UNSAFE)
 
 
+def test_a_keyed_job_that_broke_off_is_not_given_up_for_lack_of_room() -> None:
+    """The failure met: reset, turned away once, then failed, as f near 0 allowed two attempts in all; its
+    client must not ask again, so it was lost. One that never ran is refused as before."""
+    limits = Limits(cancel=True, max_attempts=4)
+    for first, attempts in [(Outcome.RESET, 4), (Outcome.FULL, 1)]:
+        bench = Bench(settings(Effect.KEYED, Group.ZONE, tells_start=True, limits=limits), entries(9))
+        fill(bench, 0)
+        [send] = sends_of(bench.feed(Submitted(1, 2500.0)))
+        bench.finish(send, 0, first)
+        for attempt in range(1, 4):
+            for send in sends_of(bench.run(bench.now + 150.0)):
+                bench.finish(send, attempt, Outcome.FULL)
+        assert len(bench.sends) == attempts
+        assert any(isinstance(action, Refuse) for action in bench.log) == (first is Outcome.FULL)
+
+
 @pytest.mark.parametrize("effect", [Effect.SAFE, Effect.KEYED, Effect.UNSAFE])
 def test_a_started_job_whose_worker_falls_silent_is_drawn_again(effect: Effect) -> None:
     """The failure met: a machine that is cut off closes nothing; its jobs waited for their deadline."""
