--- a/pipitshed/config.py
+++ b/pipitshed/config.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any, Literal
 
 import msgspec
 
@@ -17,6 +17,10 @@
 from pipitshed.routes.discovery import Members, address_of
 
 
+if TYPE_CHECKING:
+    from pipitshed.translation.file import TranslationFile
+
+
 class ConfigError(ValueError):
     """The configuration can't be used; the text says why in one line."""
 
@@ -101,6 +105,7 @@
     job_class: str = msgspec.field(name="class")
     tenant: str = ""
     patience_s: float | None = None
+    form: int | None = None  # version of the message form in which its clients speak; none: `clients.gearman`
 
 
 class _Workers(msgspec.Struct):
@@ -121,9 +126,29 @@
     service: str
 
 
-class _FrontFile(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+class _Translation(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+    file: str  # beside the front file
+    interface: Literal[0, 1, 2] = 0  # of planners of which nobody tells it; 0: it is found out
+    keepalive_s: float = 10.0
+    planners: dict[str, Literal[1, 2]] = {}  # by instance id
+
+
+class FrontFile(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+    """The front file as it is written."""
+
     gearman: _Gearman = msgspec.field(default_factory=_Gearman)
     dns_sd: _DnsSd | None = None
+    translation: _Translation | None = None
+
+
+@dataclass(frozen=True)
+class Translation:
+    """What the translation file says, and where planners' interfaces are known from."""
+
+    file: TranslationFile
+    interface: int
+    keepalive: float  # s
+    planners: dict[str, int]
 
 
 @dataclass(frozen=True)
@@ -131,16 +156,17 @@
     """What the front file asks for; nothing where it gives no addresses."""
 
     listen: list[tuple[str, int]]
-    functions: dict[str, tuple[str, str, float]]  # function: class, tenant, patience in ms (inf: the class's)
+    functions: dict[str, tuple[str, str, float, int | None]]  # class, tenant, patience (ms), form
     workers: _Workers
     dns_server: tuple[str, int] | None
     dns_service: str
+    translation: Translation | None = None
 
 
 def load_front(path: Path, classes: list[str]) -> Front:
     """Read the front file; ConfigError where it can't be used. No file asks for nothing."""
     try:
-        file = msgspec.convert(tomllib.loads(path.read_text()), _FrontFile) if path.exists() else _FrontFile()
+        file = msgspec.convert(tomllib.loads(path.read_text()), FrontFile) if path.exists() else FrontFile()
         for name, function in file.gearman.functions.items():
             if function.job_class not in classes:
                 raise ConfigError(f"{path}: function {name}: no class {function.job_class!r}")
@@ -150,13 +176,44 @@
             raise ConfigError(f"{path}: gearman listens, but has no functions")
         return Front(
             [address_of(text) for text in file.gearman.listen],
-            {name: (one.job_class, one.tenant, math.inf if one.patience_s is None else one.patience_s * 1000)
+            {name: (one.job_class, one.tenant, math.inf if one.patience_s is None else one.patience_s * 1000,
+                    one.form)
              for name, one in file.gearman.functions.items()},
             file.gearman.workers, address_of(file.dns_sd.server) if file.dns_sd else None,
-            file.dns_sd.service if file.dns_sd else "")
+            file.dns_sd.service if file.dns_sd else "", _translation(path, file, classes))
     except ConfigError:
         raise
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except (msgspec.MsgspecError, ValueError) as error:
         raise ConfigError(f"{path}: {error}") from None
+
+
+def _translation(path: Path, file: FrontFile, classes: list[str]) -> Translation | None:
+    """The translation file that the front file names. Imported where it is asked for: `run` stays small."""
+    asked = file.translation
+    if asked is None:
+        return None
+    if not 0 < asked.keepalive_s < math.inf:
+        raise ConfigError(f"{path}: translation: keepalive-s = {asked.keepalive_s}")
+    try:
+        import google.protobuf  # noqa: F401 - is the extra there?
+        import h2  # noqa: F401
+    except ImportError as error:
+        raise ConfigError(f"{path}: translation needs the extra `translation`: {error}") from None
+    from pipitshed.translation.file import TranslationError, read
+    name = path.parent / asked.file
+    try:
+        forms = read(name.read_text())
+    except OSError as error:
+        raise ConfigError(f"{name}: {error.strerror}") from None
+    except TranslationError as error:
+        raise ConfigError("\n".join(f"{name}: {line}" for line in str(error).splitlines())) from None
+    versions = [form.version for form in forms.forms]
+    for function, one in file.gearman.functions.items():
+        if one.form is not None and one.form not in versions:
+            raise ConfigError(f"{path}: function {function}: there is no form {one.form}")
+    known = {job_class for form in forms.forms for job_class in form.classes}
+    for unknown in sorted(known - set(classes)):
+        raise ConfigError(f"{name}: the settings have no class {unknown!r}")
+    return Translation(forms, asked.interface, asked.keepalive_s, dict(asked.planners))
--- a/pipitshed/decisions/interface.py
+++ b/pipitshed/decisions/interface.py
@@ -177,6 +177,7 @@
     started_at: float = 0.0
     state: State = State.READY
     classes: frozenset[int] | None = None  # the classes it runs; None for all
+    interface: int = 1  # what it speaks
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,6 +214,7 @@
     work: float | None = None
     key: int = 0
     repeat: bool = False
+    fits: frozenset[int] | None = None  # the interfaces that can express it; None for all
 
 
 @dataclass(frozen=True, slots=True)
@@ -257,6 +259,7 @@
     elapsed: float
     settled: bool
     report: tuple[float, ...] = ()
+    pushback: float | None = None  # the worker asks to wait so long; negative: not to try again
 
 
 @dataclass(frozen=True, slots=True)
--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -65,12 +65,12 @@
 
     __slots__ = ("id", "zone", "cell", "kind", "weight", "started_at", "ready", "unstarted", "shy_until",
                  "strikes", "asked", "room", "room_at", "lent", "lent_at",
-                 "idle", "idle_at", "pace", "pace_at", "held", "classes")
+                 "idle", "idle_at", "pace", "pace_at", "held", "classes", "interface")
 
     def __init__(self, entry: Entry) -> None:
         self.id = entry.worker
         self.zone, self.cell, self.kind = entry.zone, entry.cell, entry.kind
-        self.weight, self.classes = entry.weight, entry.classes
+        self.weight, self.classes, self.interface = entry.weight, entry.classes, entry.interface
         self.started_at = 0.0
         self.ready = False
         self.unstarted = 0  # own jobs sent there that have not started
@@ -102,7 +102,7 @@
 
     __slots__ = ("id", "cls", "number", "deadline", "came", "attempts", "over", "stream", "resume", "asks",
                  "ask_round", "ask_until", "offer", "failures", "slots", "unsure", "work", "wake", "promised",
-                 "broken")
+                 "broken", "fits")
 
     def __init__(self, event: Submitted, cls: JobClass, now: float) -> None:
         self.id, self.cls, self.number, self.came = event.job, cls, event.job_class, now
@@ -115,6 +115,7 @@
         self.ask_round, self.ask_until, self.failures = 0, now, 0
         self.promised = 0  # attempts that it gets whatever becomes of f: one was called off for the next
         self.broken = 0  # attempts whose connection broke
+        self.fits = event.fits  # the interfaces that can express it; None for all
         self.slots, self.work, self.unsure, self.wake = event.slots, event.work, UNSURE, math.inf
 
     def outs(self) -> list[Attempt]:
@@ -145,7 +146,7 @@
         self.actions: list[Action] = []
         self.workers: dict[WorkerId, Worker] = {}
         self.groups: dict[Scope, list[Worker]] = {}
-        self.pools: dict[tuple[Scope, int], Pool | None] = {}  # by scope and class
+        self.pools: dict[tuple[Scope, int, frozenset[int] | None], Pool | None] = {}
         self.jobs: dict[int, Job] = {}
         self.waiting: dict[int, Job] = {}  # jobs with no attempt out
         self.timers: dict[int, Job | None] = {}
@@ -238,6 +239,7 @@
         elif entry.weight > 0:
             worker.weight = entry.weight
         worker.ready, worker.classes = entry.state is State.READY, entry.classes
+        worker.interface = entry.interface
         if entry.started_at > worker.started_at:
             # A new start: what was held against the old process is void, and it is cold.
             worker.started_at = entry.started_at
@@ -255,10 +257,11 @@
 
     def _pool(self, scope: Scope, job: Job) -> Pool | None:
         """The ready workers of the job's class."""
-        key, kind = (scope, job.number), job.cls.kind
+        key, kind = (scope, job.number, job.fits), job.cls.kind
         if key not in self.pools:
             workers = [worker for worker in self._group(scope) if (kind is None or worker.kind == kind)
-                       and (worker.classes is None or job.number in worker.classes)]
+                       and (worker.classes is None or job.number in worker.classes)
+                       and (job.fits is None or worker.interface in job.fits)]
             weights = [worker.weight for worker in workers]
             if self.settings.weights is Weights.NONE or not any(weights):
                 weights = [1.0] * len(workers)
@@ -656,6 +659,12 @@
         elif not job.outs():
             self.waiting[job.id] = job
             self._pause(job)
+            if event.pushback is not None:
+                # Its worker knows better than a drawn pause when there will be room, or that there won't.
+                job.resume = max(job.resume, self.now + event.pushback)
+                worker.shy_until = max(worker.shy_until, job.resume)
+                if event.pushback < 0 or job.resume >= job.deadline:
+                    self._close(job)
             self._step(job)
 
     def _report(self, worker: Worker, report: tuple[float, ...]) -> None:
--- a/pipitshed/egress/gearman.py
+++ b/pipitshed/egress/gearman.py
@@ -103,7 +103,7 @@
         extra = {Kind.JOB_ASSIGN: (), Kind.JOB_ASSIGN_UNIQ: (unique,), Kind.JOB_ASSIGN_ALL: (unique, b"")}
         self.running[handle], hop.link = hop, handle
         hop.ran = True
-        self.link.write(pack(answer, handle, function.encode("latin-1"), *extra[answer], request.body))
+        self.link.write(pack(answer, handle, function.encode("latin-1"), *extra[answer], hop.body))
         if limit := self.abilities.get(function, 0.0):
             self.carrier.loop.call_later(limit, core.give_up, hop)
         core.hop_noted(hop, NoteKind.STARTED)
--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 
 from typing import cast
 
@@ -18,6 +18,8 @@
 IDLE_SPARE = 0.1  # part of the planner's idle time by which a connection is closed ahead of it
 LINE_LIMIT = 4 * BODY_LIMIT  # a result of 64 KiB may be longer in JSON
 
+HTTP2_SETTINGS = b"\0\0"  # a frame of less than 256 bytes; no HTTP/1.1 answer begins so
+
 Address = tuple[str, int]
 
 
@@ -46,7 +48,7 @@
     key = f"Idempotency-Key: {_header_text(request.key)}\r\n" if request.key else ""
     return (f"{request.verb} {request.resource} HTTP/1.1\r\nHost: service.internal\r\n"
             f"X-Request-Id: {_header_text(request.id)}\r\n{key}X-Deadline: {max(0.001, left):.3f}\r\n"
-            f"Content-Length: {len(request.body)}\r\n\r\n").encode("latin-1") + request.body
+            f"Content-Length: {len(hop.body)}\r\n\r\n").encode("latin-1") + hop.body
 
 
 def read_load(text: bytes, fields: Sequence[str]) -> tuple[float, ...]:
@@ -128,6 +130,8 @@
         try:
             self._reader.feed(data)
         except BadAnswerError:
+            if self.hop is not None and data.startswith(HTTP2_SETTINGS):
+                self._carrier.on_wrong_interface(self.hop.target)
             self._end(Outcome.RESET)
             self.close()
 
@@ -213,6 +217,7 @@
         self.core = core
         self.fields = fields
         self.loop = loop
+        self.on_wrong_interface: Callable[[EgressTarget], None] = lambda target: None
         self._idle: dict[Address, list[_Connection]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         limits = core.settings.limits
--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -6,7 +6,7 @@
 import logging
 import math
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from time import monotonic
 
@@ -14,7 +14,7 @@
     Action, Cancel, CloseIdle, Event, Fail, FetchList, Finished, LinkLost, Log, Note, NoteKind,
     Outcome, Probe, Probed, Refuse, Send, SetTimer, Settings, Submitted, TimerFired, WatchList, Withdrawn)
 from pipitshed.decisions.rules import Dispatcher
-from pipitshed.exchange.parties import Client, EgressTarget, Exchange, Hop, Request
+from pipitshed.exchange.parties import Client, EgressTarget, Exchange, Hop, Refusal, Request, Translator
 from pipitshed.exchange.route_table import RouteTable
 
 MARGIN_MS = 30.0  # the final answer is out so long before the client gives up
@@ -29,6 +29,8 @@
     def __init__(self, settings: Settings, seed: int, loop: asyncio.AbstractEventLoop) -> None:
         self.settings = settings
         self.routes = RouteTable(self.post)
+        self.translator: Translator | None = None  # where messages are translated
+        self._untranslated: deque[Exchange] = deque()
         self.tally: Counter[str] = Counter()
         self.on_idle: Callable[[], None] | None = None
         self.ask_list: Callable[[bool], None] = lambda watch: None  # discovery: a watch, or the whole list
@@ -109,10 +111,59 @@
         self.tally["taken"] += 1
         # Guards against a final answer that never comes: whatever the decisions do, the client gets one.
         exchange.guard = self._loop.call_at(exchange.deadline + GUARD_MS / 1000, self._overdue, exchange)
+        if self.translator is None or request.form is None:
+            self._submit(exchange, left)
+        else:
+            self._untranslated.append(exchange)
+            if len(self._untranslated) == 1:
+                self._loop.call_soon(self._translate)
+        return exchange
+
+    def _submit(self, exchange: Exchange, left: float, fits: frozenset[int] | None = None) -> None:
+        request = exchange.request
         self.post(Submitted(
             exchange.number, left, request.job_class, request.tenant, request.slots, request.memory,
-            request.hint, request.affinity, request.repeat))
-        return exchange
+            request.hint, request.affinity, request.repeat, fits))
+
+    def _translate(self) -> None:
+        """Translate the request that has waited longest; one in each turn of the loop, so that a burst of
+        long ones makes no timer late. Where no listed planner could be told it, it is refused at once."""
+        exchange = self._untranslated.popleft()
+        if self._untranslated:
+            self._loop.call_soon(self._translate)
+        if exchange.settled or self.translator is None:
+            return  # its client has gone meanwhile
+        prepared = exchange.prepared = self.translator.prepare(exchange.request)
+        if why := self._unfit(exchange):
+            self._refuse_unfit(exchange, why)
+        else:
+            left = max(0.0, (exchange.deadline - monotonic()) * 1000)
+            self._submit(exchange, left, frozenset(prepared.bodies) if prepared.unfit else None)
+
+    def _unfit(self, exchange: Exchange) -> Refusal | None:
+        """Why no listed planner can be told the request; None where one can, or may yet be found to."""
+        prepared = exchange.prepared
+        if prepared is None or not prepared.unfit:
+            return None
+        listed = self.routes.interfaces()
+        if prepared.bodies and (not listed or 0 in listed or not listed.isdisjoint(prepared.bodies)):
+            return None
+        by_listed = [interface for interface in sorted(prepared.unfit) if interface in listed]
+        why: Refusal = prepared.unfit[by_listed[0] if by_listed else min(prepared.unfit)]
+        return why
+
+    def _refuse_unfit(self, exchange: Exchange, why: Refusal) -> None:
+        if self._settle(exchange.number, "unfit"):
+            exchange.fault = f"{why.field}: {why.reason}".encode()
+            exchange.client.unfit(why, False)
+
+    def interfaces_changed(self) -> None:
+        """Planners of an interface have come or gone: what waits and can be told to none that is left is not
+        held until its time is over."""
+        for exchange in list(self._exchanges.values()):
+            if not exchange.settled and not exchange.hops and (why := self._unfit(exchange)):
+                self._refuse_unfit(exchange, why)
+                self.post(Withdrawn(exchange.number))
 
     def withdraw(self, exchange: Exchange) -> None:
         """The client has gone: nothing more is owed to it."""
@@ -164,7 +215,14 @@
         deadline = exchange.deadline
         if action.timeout > 0:
             deadline = min(deadline, now + action.timeout / 1000)
-        hop = Hop(exchange, len(exchange.hops), target, now, deadline)
+        prepared = exchange.prepared
+        if prepared is not None and target.interface not in prepared.bodies:
+            # The planner came back with another interface in this very turn.
+            exchange.hops.append(Hop(exchange, len(exchange.hops), target, now, deadline))
+            self.hop_ended(exchange.hops[-1], Outcome.CONNECT_FAILED)
+            return
+        body = exchange.request.body if prepared is None else prepared.bodies[target.interface]
+        hop = Hop(exchange, len(exchange.hops), target, now, deadline, body)
         exchange.hops.append(hop)
         hop.timer = self._loop.call_at(deadline, self.give_up, hop)
         target.carrier.carry(hop)
@@ -188,8 +246,9 @@
                 hop.exchange.client.noted(kind, share)
 
     def hop_ended(self, hop: Hop, outcome: Outcome, result: bytes = b"",
-                  report: Sequence[float] = ()) -> None:
-        """The one outcome of a hop; whatever comes after it is nothing to the core."""
+                  report: Sequence[float] = (), pushback: float | None = None) -> None:
+        """The one outcome of a hop; whatever comes after it is nothing to the core. `pushback`: ms that the
+        planner wants the next attempt to wait, negative for none at all."""
         if hop.over:
             return
         hop.outcome = outcome
@@ -199,13 +258,26 @@
         exchange = hop.exchange
         if outcome is Outcome.ERROR:
             exchange.fault = result
-        if outcome is Outcome.OK and self._settle(exchange.number, "served"):
-            exchange.client.served(result)
+        if outcome is Outcome.OK and not exchange.settled:
+            self._serve(exchange, hop, result)
         self.post(Finished(
             exchange.number, hop.number, hop.target.id, outcome,
-            (monotonic() - hop.sent_at) * 1000, exchange.settled, tuple(report)))
+            (monotonic() - hop.sent_at) * 1000, exchange.settled, tuple(report), pushback))
         self._forget(exchange)
 
+    def _serve(self, exchange: Exchange, hop: Hop, result: bytes) -> None:
+        answer: bytes | Refusal = result
+        if exchange.prepared is not None and self.translator is not None:
+            answer = self.translator.answer(exchange.request, hop.target.interface, result)
+        if isinstance(answer, bytes):
+            self._settle(exchange.number, "served")
+            exchange.client.served(answer)
+        else:
+            # The job ran: whatever its class, it is not run again for a result that can't be told.
+            self._settle(exchange.number, "failed")
+            exchange.fault = f"{answer.field}: {answer.reason}".encode()
+            exchange.client.unfit(answer, True)
+
     def link_lost(self, target: EgressTarget) -> None:
         """A connection that an ended hop had left free has closed."""
         self.post(LinkLost(target.id))
--- a/pipitshed/exchange/ledger.py
+++ b/pipitshed/exchange/ledger.py
@@ -12,7 +12,7 @@
 
 from pipitshed.decisions.interface import Effect, NoteKind
 from pipitshed.exchange.core import Core
-from pipitshed.exchange.parties import Client, Exchange, Request
+from pipitshed.exchange.parties import Client, Exchange, Refusal, Request
 
 Key = tuple[int, str]
 KEPT_BYTES = 16 * 1024 * 1024  # of results; of the oldest beyond it only that they ran is kept
@@ -43,6 +43,10 @@
         for client in self._end():
             client.failed()
 
+    def unfit(self, why: Refusal, ran: bool) -> None:
+        for client in self._end():
+            client.unfit(why, ran)
+
     def noted(self, kind: NoteKind, share: float) -> None:
         self.notes[kind] = share
         for client in self.clients:
--- a/pipitshed/exchange/parties.py
+++ b/pipitshed/exchange/parties.py
@@ -11,7 +11,6 @@
 UNRUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))  # these prove it never ran
 
 
-
 @dataclass(frozen=True, slots=True)
 class Request:
     """What a client wants done; `verb` and `resource` say how it was asked and are handed on unchanged."""
@@ -31,6 +30,32 @@
     memory: float = 0.0
     hint: float | None = None
     repeat: bool = False
+    tenant_name: str = ""  # as the client told it, also where the settings don't name it
+    form: int | None = None  # version of the message form; None where nothing is translated
+
+
+class Refusal(Protocol):
+    """Why a message can't be expressed: the field, its value (shortened) and the reason."""
+
+    field: str
+    value: str
+    reason: str
+
+
+class Prepared(Protocol):
+    """One request in the form of each interface that can express it."""
+
+    bodies: dict[int, bytes]  # interface: body
+    unfit: dict[int, Any]  # interface: its Refusal
+
+
+class Translator(Protocol):
+    """Turns messages from one form into another, whole or not at all."""
+
+    def prepare(self, request: Request) -> Prepared: ...
+
+    def answer(self, request: Request, interface: int, result: bytes) -> bytes | Refusal:
+        """A planner's result in the client's form."""
 
 
 class Client(Protocol):
@@ -43,6 +68,9 @@
 
     def failed(self) -> None: ...
 
+    def unfit(self, why: Refusal, ran: bool) -> None:
+        """A final no: no planner can be told the request, or (where it ran) the client not the result."""
+
     def noted(self, kind: NoteKind, share: float) -> None:
         """The job has started, or got so far."""
 
@@ -67,6 +95,7 @@
     id: WorkerId
     carrier: Carrier
     address: Any
+    interface: int = 1  # the planner interface that it speaks; 0 while that is being found out
 
 
 @dataclass(slots=True, eq=False)
@@ -81,6 +110,7 @@
     fault: bytes = b""  # what the last planner that failed said of it
     hops: list[Hop] = field(default_factory=list)
     guard: asyncio.TimerHandle | None = None
+    prepared: Prepared | None = None  # where it is translated
 
     @property
     def may_have_run(self) -> bool:
@@ -96,6 +126,7 @@
     target: EgressTarget
     sent_at: float  # loop time
     deadline: float  # loop time
+    body: bytes = b""  # in the target's form
     ran: bool = False  # set by the carrier once it may have run
     outcome: Outcome | None = None
     timer: asyncio.TimerHandle | None = None
--- a/pipitshed/ingress/gearman.py
+++ b/pipitshed/ingress/gearman.py
@@ -19,7 +19,7 @@
 from pipitshed.egress.gearman import WORKER_KINDS, GearmanCarrier, Worker
 from pipitshed.exchange.core import Core
 from pipitshed.exchange.ledger import Entry, Ledger
-from pipitshed.exchange.parties import Request
+from pipitshed.exchange.parties import Refusal, Request
 from pipitshed.wire.buffer import Buffer, TooLongError
 from pipitshed.wire.gearman import HEAD, PACKET_LIMIT, Kind, PacketError, pack, requests
 from pipitshed.wire.http import BODY_LIMIT
@@ -44,6 +44,8 @@
     job_class: int
     tenant: int
     patience: float  # ms
+    tenant_name: str = ""
+    form: int | None = None  # version of the message form in which its clients speak
 
 
 class _Job:
@@ -72,6 +74,10 @@
             packets.insert(0, pack(Kind.WORK_EXCEPTION, self.handle, exchange.fault))
         self._end(*packets)
 
+    def unfit(self, why: Refusal, ran: bool) -> None:
+        """Final, with the reason as an exception where the client has asked for these."""
+        self.failed()
+
     def noted(self, kind: NoteKind, share: float) -> None:
         self.started = True
         if kind is NoteKind.PROGRESS:
@@ -233,7 +239,8 @@
         key = unique.decode("latin-1")
         request = Request(
             job.handle.decode("latin-1"), known.job_class, known.patience, known.tenant, body,
-            key or job.handle.decode("latin-1"), function=function.decode("latin-1"), priority=priority)
+            key or job.handle.decode("latin-1"), function=function.decode("latin-1"), priority=priority,
+            tenant_name=known.tenant_name, form=known.form)
         job.entry = self.ledger.submit(request, job)
 
     def ended(self, job: _Job) -> None:
--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -8,14 +8,15 @@
 import zlib
 from collections import deque
 from collections.abc import Sequence
-from typing import cast
+from typing import Protocol, cast
 from urllib.parse import unquote_plus
 
 import httptools
+import msgspec
 
 from pipitshed.decisions.interface import NoteKind
 from pipitshed.exchange.core import Core
-from pipitshed.exchange.parties import Exchange, Request
+from pipitshed.exchange.parties import Exchange, Refusal, Request
 from pipitshed.wire.buffer import Buffer, TooLongError
 from pipitshed.wire.http import BODY_LIMIT, HEAD_LIMIT
 
@@ -25,11 +26,12 @@
 MESSAGE_LIMIT = HEAD_LIMIT + 4 * BODY_LIMIT  # bytes of a request with its chunks' framing and its trailers
 LINGER = 0.5  # s for which more is read and thrown away after an error, so that the client can read it
 LINGER_BYTES = 1024 * 1024  # of it at most
+_encode = msgspec.json.encode
 OVER = 1.5  # times the part for clients from which new ones are turned away
 ID_LIMIT = 256  # characters of an id or a key
 
 _REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-            408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
+            408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 422: "Unprocessable Content",
             431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
 
 
@@ -40,6 +42,19 @@
 _NAME = re.compile(rb"[!-~]{1,%d}" % ID_LIMIT)
 
 
+_ENVELOPE = {"id": b"x-request-id", "class": b"x-class", "tenant": b"x-tenant", "key": b"idempotency-key",
+             "deadline": b"x-deadline"}
+
+
+class Forms(Protocol):
+    """What is known of the forms in which clients speak, where messages are translated."""
+
+    def client_form(self, content_type: str) -> int: ...
+
+    def envelope(self, form: int, body: bytes) -> dict[str, str]:
+        """What the body tells of id, class, tenant, key and deadline; ValueError where it can't be read."""
+
+
 class MalformedError(ValueError):
     """A request that can't be taken; answered with `status`."""
 
@@ -73,13 +88,16 @@
 class Reading:
     """Turns a request's head and body into a Request, by the names in the settings."""
 
-    def __init__(self, core: Core, classes: Sequence[str], tenants: Sequence[str]) -> None:
+    def __init__(self, core: Core, classes: Sequence[str], tenants: Sequence[str],
+                 forms: Forms | None = None) -> None:
         self._core = core
+        self._forms = forms
         self._classes = {name.encode(): place for place, name in enumerate(classes)}
         self._tenants = {name.encode(): place for place, name in enumerate(tenants)}
 
     def request(self, verb: bytes, resource: bytes, head: dict[bytes, bytes], body: bytes) -> Request:
         """MalformedError where it can't be one."""
+        form = self._envelope(head, body) if self._forms is not None else None
         number, key = head.get(b"x-request-id", b""), head.get(b"idempotency-key", b"")
         job_class = self._classes.get(head.get(b"x-class", b""))
         # Guards the planners: an id or a key that can't be handed on as it came must not be handed on.
@@ -103,7 +121,23 @@
             key.decode("latin-1"), _affinity(head.get(b"cookie", b"")),
             verb.decode("latin-1"), resource.decode("latin-1"), slots=extras.get(b"slots", 1.0) or 1.0,
             memory=extras.get(b"memory", 0.0), hint=_number(hint, "X-Cost-Hint") if hint else None,
-            repeat=head.get(b"x-retry", b"") == b"1")
+            repeat=head.get(b"x-retry", b"") == b"1",
+            tenant_name=head.get(b"x-tenant", b"").decode("latin-1"), form=form)
+
+    def _envelope(self, head: dict[bytes, bytes], body: bytes) -> int:
+        """The form's version. What that form has in the body is told like a header from then on; told in both
+        and not alike, nobody can know which a planner would go by."""
+        assert self._forms is not None
+        form = self._forms.client_form(head.get(b"content-type", b"").decode("latin-1"))
+        try:
+            told = self._forms.envelope(form, body)
+        except ValueError as error:
+            raise MalformedError(400, str(error)) from None
+        for name, text in told.items():
+            header, value = _ENVELOPE[name], text.encode("utf-8")
+            if head.setdefault(header, value) != value:
+                raise MalformedError(400, f"{header.decode()} differs from the body's")
+        return form
 
 
 class _Connection(asyncio.Protocol):
@@ -316,6 +350,17 @@
         self._write(500)
         self._next()
 
+    def unfit(self, why: Refusal, ran: bool) -> None:
+        """Say what can't be expressed, as RFC 9457 has it: 422 for a request, which trying again won't mend;
+        500 for the result of a job that ran."""
+        status = 500 if ran else 422
+        self._write(status, _encode({
+            "type": f"urn:pipitshed:problem:{'result' if ran else 'request'}-not-expressible",
+            "title": f"The {'result' if ran else 'request'} can't be expressed", "status": status,
+            "detail": f"{why.field}: {why.reason}", "field": why.field, "value": why.value,
+            "reason": why.reason}), "Content-Type: application/problem+json\r\n")
+        self._next()
+
     def noted(self, kind: NoteKind, share: float) -> None:
         """The platform's clients wait for the answer alone."""
 
--- a/pipitshed/routes/discovery.py
+++ b/pipitshed/routes/discovery.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from typing import cast
+from typing import Protocol, cast
 
 import msgspec
 
@@ -35,6 +35,7 @@
     lifecycle: str = "ready"
     weight: float = 1.0
     started_at_ms: float = 0.0
+    interface: int = 0  # the planner interface that it speaks, where the row tells it
 
 
 class Members(msgspec.Struct):
@@ -66,17 +67,32 @@
         return self._places.setdefault(name, len(self._places))
 
 
+class Carriers(Protocol):
+    """Which interface a planner speaks, where there is more than one."""
+
+    def choose(self, source: str, item: Instance, listing: Listing) -> tuple[int, Carrier]:
+        """The interface, 0 while it is being found out, and what carries hops to it."""
+
+
 class Listing:
-    """Turns the list's lines into route table lines."""
+    """Turns one source's lines into route table lines."""
 
-    def __init__(self, zones: Names, kinds: Names, carrier: Carrier) -> None:
-        self.zones, self.kinds, self.carrier = zones, kinds, carrier
+    def __init__(self, source: str, zones: Names, kinds: Names, carrier: Carrier,
+                 carriers: Carriers | None = None) -> None:
+        self.source = source
+        self.zones, self.kinds, self.carrier, self.carriers = zones, kinds, carrier, carriers
 
     def line(self, item: Instance) -> Line:
         worker = item.instance_id.encode()
+        interface, carrier = 1, self.carrier
+        if self.carriers is not None:
+            interface, carrier = self.carriers.choose(self.source, item, self)
+        # What is not known to be of any interface gets nothing.
+        classes = frozenset[int]() if interface == 0 else None
         entry = Entry(worker, self.zones.place(item.zone), item.cell, self.kinds.place(item.machine_type),
-                      item.weight, item.started_at_ms, _STATES.get(item.lifecycle, State.DRAINING))
-        return entry, EgressTarget(worker, self.carrier, address_of(item.host_port))
+                      item.weight, item.started_at_ms, _STATES.get(item.lifecycle, State.DRAINING), classes,
+                      interface)
+        return entry, EgressTarget(worker, carrier, address_of(item.host_port), interface)
 
 
 class Discovery:
--- a/pipitshed/routes/dns_sd.py
+++ b/pipitshed/routes/dns_sd.py
@@ -16,9 +16,8 @@
 import dns.rrset
 
 from pipitshed.decisions.interface import ListKind
-from pipitshed.exchange.parties import Carrier
 from pipitshed.exchange.route_table import Line, RouteTable
-from pipitshed.routes.discovery import Instance, Listing, Names
+from pipitshed.routes.discovery import Instance, Listing
 
 SOURCE = "dns-sd"
 ASK_TIMEOUT = 0.5  # s for one question
@@ -56,11 +55,11 @@
 class DnsSd:
     """Browses one service at one name server, and asks again as the records' times to live say."""
 
-    def __init__(self, server: tuple[str, int], service: str, zones: Names, kinds: Names, carrier: Carrier,
-                 table: RouteTable, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, server: tuple[str, int], service: str, listing: Listing, table: RouteTable,
+                 loop: asyncio.AbstractEventLoop) -> None:
         self._server = server
         self._service = dns.name.from_text(service)
-        self._listing = Listing(zones, kinds, carrier)
+        self._listing = listing
         self._table = table
         self._loop = loop
         self._instances: dict[dns.name.Name, tuple[Instance, float]] = {}  # and until when it may stand
@@ -137,7 +136,7 @@
             name.to_text(), f"{address[0].to_text()}:{record.port}", pairs.get("zone", ""),
             pairs.get("kind", ""), int(_float(pairs.get("cell", ""), 0)), pairs.get("state", "ready"),
             _float(pairs.get("weight", ""), float(record.weight) or 1.0),
-            _float(pairs.get("started", ""), 0.0))
+            _float(pairs.get("started", ""), 0.0), int(_float(pairs.get("interface", ""), 0)))
         life = min(srv.ttl, address.ttl, txt.ttl if txt is not None else srv.ttl)
         return instance, self._loop.time() + life
 
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -17,11 +17,13 @@
 from pipitshed.ingress.gearman import Function, GearmanFront
 from pipitshed.ingress.http import HttpFront, Reading
 from pipitshed.ingress.listener import Listener
+from pipitshed.routes.discovery import SOURCE as DISCOVERY
 from pipitshed.routes.discovery import Discovery, Listing, Names
 from pipitshed.wire.http import BODY_LIMIT
 
 if TYPE_CHECKING:
     from pipitshed.routes.dns_sd import DnsSd
+    from pipitshed.translating import TranslationParts
 
 LISTEN_ON = 0.5  # s after SIGTERM: new connections keep coming for up to 0.4 s
 STAY = 2.0  # s after SIGTERM for which kept connections are served on: a peer may be starting again by then
@@ -45,22 +47,26 @@
         self.core = Core(config.settings, config.seed, loop)
         self.carrier = HttpCarrier(self.core, config.fields, loop)
         zones, kinds = Names(config.zones), Names(config.kinds)
+        self.translation = self._translation(config, front) if front.translation is not None else None
+        carriers = self.translation.interfaces if self.translation is not None else None
         self.discovery: Discovery | None = None
         self.dns_sd: DnsSd | None = None
         self.gearman: GearmanFront | None = None
         if config.discovery is not None:
             self.discovery = Discovery(
-                config.discovery, Listing(zones, kinds, self.carrier), self.core.routes, loop)
+                config.discovery, Listing(DISCOVERY, zones, kinds, self.carrier, carriers), self.core.routes,
+                loop)
             self.core.ask_list = self.discovery.ask
             if config.known is not None:
                 self.discovery.known(config.known)
         if front.dns_server is not None:
             # Imported where it is asked for: on the platform its library is a third of the time to start.
-            from pipitshed.routes.dns_sd import DnsSd
-            self.dns_sd = DnsSd(front.dns_server, front.dns_service, zones, kinds, self.carrier,
-                                self.core.routes, loop)
+            from pipitshed.routes.dns_sd import SOURCE, DnsSd
+            self.dns_sd = DnsSd(front.dns_server, front.dns_service,
+                                Listing(SOURCE, zones, kinds, self.carrier, carriers), self.core.routes, loop)
             self.dns_sd.start()
-        self.front = HttpFront(self.core, Reading(self.core, config.classes, config.tenants),
+        translator = self.translation.translator if self.translation is not None else None
+        self.front = HttpFront(self.core, Reading(self.core, config.classes, config.tenants, translator),
                                int(config.sockets * CLIENTS_PART), loop)
         self.listeners = [Listener(config.listen, self.front.connection, loop, self.front.has_room)]
         if front.listen:
@@ -71,10 +77,14 @@
 
     def _gearman(self, config: Config, front: Front, zones: Names, kinds: Names) -> GearmanFront:
         functions = {}
-        for name, (class_name, tenant, patience) in front.functions.items():
+        translator = self.translation.translator if self.translation is not None else None
+        for name, (class_name, tenant, patience, form) in front.functions.items():
             number = config.classes.index(class_name)
             known = config.tenants.index(tenant) if tenant in config.tenants else len(config.tenants)
-            functions[name] = Function(number, known, min(patience, config.settings.classes[number].deadline))
+            if translator is not None and form is None:
+                form = translator.clients.gearman
+            functions[name] = Function(number, known, min(patience, config.settings.classes[number].deadline),
+                                       tenant, form)
         zone = zones.place(front.workers.zone) if front.workers.zone else config.settings.zone
         place = Place(zone, front.workers.cell, kinds.place(front.workers.kind),
                       front.workers.weight)
@@ -84,6 +94,12 @@
         return GearmanFront(self.core, carrier, functions, self._loop, label,
                             int(config.sockets * GEARMAN_PART), self.drain)
 
+    def _translation(self, config: Config, front: Front) -> TranslationParts:
+        # Imported where it is asked for: the platform's start and memory stay as they are.
+        from pipitshed.translating import TranslationParts
+        assert front.translation is not None
+        return TranslationParts(self.core, self.carrier, front.translation, config.classes, self._loop)
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, and then until all that was taken is answered."""
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -149,6 +165,8 @@
         if self.gearman is not None:
             self.gearman.close()
         self.carrier.close()
+        if self.translation is not None:
+            self.translation.close()
         self._loop.call_later(SETTLE, self._ended.set)
 
 
--- /dev/null
+++ b/pipitshed/translating.py
@@ -0,0 +1,44 @@
+"""The parts that translation adds to a scheduler, put together; imported only where it is asked for."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from pipitshed.config import Translation
+from pipitshed.egress.grpc import GrpcCarrier
+from pipitshed.egress.http import HttpCarrier
+from pipitshed.egress.sounding import Sounder
+from pipitshed.exchange.core import Core
+from pipitshed.exchange.parties import EgressTarget
+from pipitshed.routes.interfaces import Interfaces
+from pipitshed.translation.translator import Translator
+
+
+class TranslationParts:
+    """The translator before the core, interface 2 behind it, and what knows which planner speaks which."""
+
+    def __init__(self, core: Core, http: HttpCarrier, asked: Translation, classes: Sequence[str],
+                 loop: asyncio.AbstractEventLoop) -> None:
+        self.translator = Translator(asked.file, classes)
+        self.carrier = GrpcCarrier(core, classes, loop, asked.keepalive)
+        self.sounder = Sounder(loop, self._sounded)
+        self.interfaces = Interfaces(core.routes, {1: http, 2: self.carrier}, asked.planners, asked.interface,
+                                     self.sounder.sound, loop.call_later)
+        core.translator = self.translator
+        core.routes.on_interfaces = core.interfaces_changed
+        http.on_wrong_interface = self.carrier.on_wrong_interface = self._wrong
+        self.carrier.on_drain = self._drains
+
+    def _sounded(self, worker: bytes, address: tuple[str, int], interface: int) -> None:
+        self.interfaces.sounded(worker, address, interface)
+
+    def _wrong(self, target: EgressTarget) -> None:
+        self.interfaces.doubt(target.id)
+
+    def _drains(self, target: EgressTarget) -> None:
+        self.interfaces.drains(target.id)
+
+    def close(self) -> None:
+        self.sounder.close()
+        self.carrier.close()
--- /dev/null
+++ b/pipitshed/translation/codecs.py
@@ -0,0 +1,135 @@
+"""Bytes of a form to a record and back: form-encoded, JSON, protobuf.
+
+Readers are strict: a field told twice, an unknown field, or text that is not UTF-8 is Unfit, never dropped.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from decimal import Decimal
+from typing import Any, Protocol
+from urllib.parse import parse_qsl, urlencode
+
+import msgspec
+
+from pipitshed.translation.values import (
+    Field, Record, Unfit, check_record, parse, parse_time, render, render_time)
+
+MOST_FIELDS = 1024  # of one form-encoded message
+WHOLE = "the message"  # what a refusal names where it is no single field
+
+
+class Codec(Protocol):
+    """One form of one message."""
+
+    def decode(self, data: bytes) -> Record:
+        """The record; Unfit where the bytes are none of this form."""
+
+    def encode(self, record: Record) -> bytes:
+        """The bytes; Unfit where the form can't express the record."""
+
+
+class FormCodec:
+    """application/x-www-form-urlencoded; flags are 0 and 1. Nested records have no place in it."""
+
+    def __init__(self, fields: Mapping[str, Field], beside: frozenset[str] = frozenset()) -> None:
+        self.fields = dict(fields)
+        self._beside = beside  # fields of the envelope, which are no part of the record
+
+    def pairs(self, data: bytes) -> list[tuple[str, str]]:
+        """The names and values as they stand."""
+        if not data:
+            return []
+        try:
+            return parse_qsl(data.decode("ascii"), keep_blank_values=True, strict_parsing=True,
+                             encoding="utf-8", errors="strict", max_num_fields=MOST_FIELDS)
+        except UnicodeDecodeError:
+            raise Unfit(WHOLE, data[:32], "is not UTF-8") from None
+        except ValueError:
+            raise Unfit(WHOLE, data[:32], "is not form-encoded") from None
+
+    def decode(self, data: bytes) -> Record:
+        record: Record = {}
+        for name, text in self.pairs(data):
+            if name in self._beside:
+                continue
+            field = self.fields.get(name)
+            if field is None:
+                raise Unfit(name, text, "is not a field of this form")
+            if field.type == "texts":
+                record.setdefault(name, []).append(text)
+            elif name in record:
+                raise Unfit(name, text, "is told twice")
+            else:
+                record[name] = parse(name, field, text)
+        return check_record(self.fields, record)
+
+    def encode(self, record: Record) -> bytes:
+        check_record(self.fields, record)
+        pairs: list[tuple[str, str]] = []
+        for name, field in self.fields.items():
+            if name not in record:
+                continue
+            if field.type == "texts":
+                pairs += [(name, item) for item in record[name]]
+            else:
+                pairs.append((name, render(name, field, record[name])))
+        return urlencode(pairs).encode()
+
+
+def _once(pairs: list[tuple[str, Any]]) -> Record:
+    record = dict(pairs)
+    if len(record) != len(pairs):
+        names = [name for name, _ in pairs]
+        twice = next(name for place, name in enumerate(names) if name in names[:place])
+        raise Unfit(twice, record[twice], "is told twice")
+    return record
+
+
+def _no_constant(text: str) -> None:
+    raise Unfit(WHOLE, text, "is not a number")
+
+
+# Of the libraries at hand only the standard one can be told of a name that stands twice.
+_json_decoder = json.JSONDecoder(object_pairs_hook=_once, parse_float=Decimal, parse_constant=_no_constant)
+_json_encode = msgspec.json.Encoder(decimal_format="number").encode
+
+
+class JsonCodec:
+    """One JSON object; decimals are read and written exactly."""
+
+    def __init__(self, fields: Mapping[str, Field]) -> None:
+        self.fields = dict(fields)
+
+    def decode(self, data: bytes) -> Record:
+        try:
+            value = _json_decoder.decode(data.decode("utf-8"))
+        except Unfit:
+            raise
+        except UnicodeDecodeError:
+            raise Unfit(WHOLE, data[:32], "is not UTF-8") from None
+        except (ValueError, RecursionError, ArithmeticError):
+            raise Unfit(WHOLE, data[:32], "is not JSON") from None
+        if not isinstance(value, dict):
+            raise Unfit(WHOLE, value, "is not a record")
+        # An empty list and none are the same: protobuf does not tell them apart.
+        value = {name: held for name, held in value.items() if held != []}
+        return check_record(self.fields, self._times(self.fields, value, parse_time))
+
+    def encode(self, record: Record) -> bytes:
+        check_record(self.fields, record)
+        return _json_encode(self._times(self.fields, record, render_time))
+
+    def _times(self, fields: Mapping[str, Field], record: Record, turn: Any) -> Record:
+        """The record with times in the other unit, also in nested records."""
+        turned = dict(record)
+        for name, field in fields.items():
+            if name not in record:
+                continue
+            if field.type == "time":
+                turned[name] = turn(name, field, record[name])
+            elif field.type == "records" and isinstance(record[name], list):
+                turned[name] = [self._times(field.fields, item, turn) if isinstance(item, dict) else item
+                                for item in record[name]]
+        return turned
--- /dev/null
+++ b/pipitshed/translation/file.py
@@ -0,0 +1,219 @@
+"""The translation file: forms, steps and interfaces, typed and checked, each problem with its line."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Iterator
+from itertools import pairwise
+from typing import Literal
+
+import msgspec
+
+from pipitshed.translation import steps
+from pipitshed.translation.steps import ClassSteps
+from pipitshed.translation.values import Field
+
+ENVELOPE = ("id", "class", "tenant", "key", "deadline")
+# How the two interfaces carry what no step may touch: published, so not for files to vary.
+HTTP_ENVELOPE = {"id": "header:x-request-id", "class": "header:x-class", "tenant": "header:x-tenant",
+                 "key": "header:idempotency-key", "deadline": "header:x-deadline"}
+GRPC_ENVELOPE = {"id": "metadata:x-request-id", "class": "metadata:x-class", "tenant": "metadata:x-tenant",
+                 "key": "metadata:idempotency-key", "deadline": "metadata:grpc-timeout"}
+
+
+class Message(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """One class's messages in one form."""
+
+    request: dict[str, Field]
+    result: dict[str, Field]
+    request_message: str = ""  # of a protobuf form, such as RunRequest.quote
+    result_message: str = ""
+
+
+class Form(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """One version of the message form."""
+
+    version: int
+    encoding: Literal["form", "json", "protobuf"]
+    envelope: dict[str, str]
+    classes: dict[str, Message]
+
+
+class StepFile(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """The step from one version to the next one."""
+
+    lower: int = msgspec.field(name="from")
+    upper: int = msgspec.field(name="to")
+    classes: dict[str, ClassSteps] = {}
+
+
+class Interfaces(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """The form in which planners of each interface take their jobs."""
+
+    http: int = msgspec.field(default=1, name="1")  # interface 1: HTTP/1.1, JSON lines
+    grpc: int = msgspec.field(default=2, name="2")  # interface 2: gRPC
+
+
+class Clients(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """The form in which clients speak."""
+
+    http: int = 1  # where no content type below says otherwise
+    content_types: dict[str, int] = {}
+    gearman: int = 1
+
+
+class TranslationFile(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """The whole file."""
+
+    forms: list[Form]
+    steps: list[StepFile] = []
+    interfaces: Interfaces = Interfaces()
+    clients: Clients = Clients()
+
+
+class TranslationError(ValueError):
+    """The file can't be used; one line for each problem."""
+
+
+_HEADER = re.compile(r"\s*\[\[?\s*([^\]]+?)\s*\]\]?\s*(#.*)?$")
+_KEY = re.compile(r"\s*((?:\"[^\"]+\"|[\w-]+)(?:\.(?:\"[^\"]+\"|[\w-]+))*)\s*=")
+
+
+def line_of(text: str, list_name: str, index: int, *path: str) -> int:
+    """The line on which the deepest part of a place stands that the text has: item `index` of a list of
+    tables, then keys. 1 where nothing is found."""
+    best, depth, count = 1, -1, -1
+    here: list[str] = []
+    for number, line in enumerate(text.splitlines(), 1):
+        if header := _HEADER.match(line):
+            here = [part.strip().strip('"') for part in header[1].split(".")]
+            if here == [list_name] and line.lstrip().startswith("[["):
+                count += 1
+            names = here
+        elif key := _KEY.match(line):
+            names = here + [part.strip('"') for part in key[1].split(".")]
+        else:
+            continue
+        if count != index or names[:1] != [list_name]:
+            continue
+        same = 0
+        for ours, theirs in zip(names[1:], path, strict=False):
+            if ours != theirs:
+                break
+            same += 1
+        if same == len(names) - 1 and same > depth:
+            best, depth = number, same
+    return best
+
+
+def read(text: str) -> TranslationFile:
+    """The typed file; TranslationError where it is none, or where anything would be lost."""
+    try:
+        file = msgspec.convert(tomllib.loads(text), TranslationFile)
+    except tomllib.TOMLDecodeError as error:
+        raise TranslationError(str(error)) from None
+    except msgspec.ValidationError as error:
+        raise TranslationError(str(error)) from None
+    found = [f"line {line}: {where}: {why}" for line, where, why in _problems(file, text)]
+    if found:
+        raise TranslationError("\n".join(found))
+    return file
+
+
+def _problems(file: TranslationFile, text: str) -> Iterator[tuple[int, str, str]]:
+    versions = [form.version for form in file.forms]
+    if versions != sorted(set(versions)):
+        yield 1, "forms", "versions must rise from one form to the next"
+        return
+    for place, form in enumerate(file.forms):
+        yield from ((line_of(text, "forms", place, *path), f"form {form.version}: {'.'.join(path)}", why)
+                    for path, why in _form_problems(form))
+    for which, version in [("interfaces.1", file.interfaces.http), ("interfaces.2", file.interfaces.grpc),
+                           ("clients.http", file.clients.http), ("clients.gearman", file.clients.gearman),
+                           *((f"clients.content-types.{name}", one)
+                             for name, one in file.clients.content_types.items())]:
+        if version not in versions:
+            yield 1, which, f"there is no form {version}"
+    by_version = {form.version: form for form in file.forms}
+    for which, version, encoding in [("interfaces.1", file.interfaces.http, "json"),
+                                     ("interfaces.2", file.interfaces.grpc, "protobuf")]:
+        if version in by_version and by_version[version].encoding != encoding:
+            yield (1, which,
+                   f"that interface speaks {encoding}, form {version} is {by_version[version].encoding}")
+    have = [(step.lower, step.upper) for step in file.steps]
+    for pair in pairwise(versions):
+        if have.count(pair) != 1:
+            yield 1, f"step {pair[0]} to {pair[1]}", f"there are {have.count(pair)} of it"
+    for place, step in enumerate(file.steps):
+        if (step.lower, step.upper) not in pairwise(versions):
+            yield (line_of(text, "steps", place), f"step {step.lower} to {step.upper}",
+                   "these are no neighbouring versions")
+            continue
+        lower, upper = by_version[step.lower], by_version[step.upper]
+        for path, why in _step_problems(step, lower, upper):
+            yield (line_of(text, "steps", place, *path),
+                   f"step {step.lower} to {step.upper}: {'.'.join(path)}", why)
+
+
+def _form_problems(form: Form) -> Iterator[tuple[tuple[str, ...], str]]:
+    expected = {"json": HTTP_ENVELOPE, "protobuf": GRPC_ENVELOPE}.get(form.encoding)
+    for name in ENVELOPE:
+        if name not in form.envelope:
+            yield ("envelope", name), f"this form has no place for the {name}: it would be lost"
+        elif expected is not None and form.envelope[name] != expected[name]:
+            yield ("envelope", name), f"{form.encoding} carries it as {expected[name]!r}"
+        elif expected is None and not form.envelope[name].startswith(("field:", "header:")):
+            yield ("envelope", name), "must be 'field:NAME' or 'header:NAME'"
+    for name in form.envelope:
+        if name not in ENVELOPE:
+            yield ("envelope", name), f"is none of {', '.join(ENVELOPE)}"
+    for job_class, message in form.classes.items():
+        for part, fields, pb_message in [("request", message.request, message.request_message),
+                                         ("result", message.result, message.result_message)]:
+            where = ("classes", job_class, part)
+            yield from ((where + path, why) for path, why in _field_problems(form, fields))
+            if form.encoding == "protobuf":
+                from pipitshed.translation.protobuf import problems
+                yield from ((where + tuple(name.split(".")), why)
+                            for name, why in problems(pb_message, fields))
+
+
+def _field_problems(form: Form, fields: dict[str, Field]) -> Iterator[tuple[tuple[str, ...], str]]:
+    beside = {place.removeprefix("field:") for place in form.envelope.values() if place.startswith("field:")}
+    for name, field in fields.items():
+        if form.encoding == "form" and field.type == "records":
+            yield (name,), "a form-encoded message holds no nested records"
+        if name in beside:
+            yield (name,), "is a field of the envelope"
+        if field.type == "choice" and not field.choices:
+            yield (name,), "has no choices"
+        if (field.type == "records") != bool(field.fields):
+            yield (name,), "only records have fields, and must"
+        yield from (((name, *path), why) for path, why in _field_problems(form, field.fields))
+
+
+def _step_problems(step: StepFile, lower: Form, upper: Form) -> Iterator[tuple[tuple[str, ...], str]]:
+    beside = {name for form in (lower, upper) for name in (
+        place.rpartition(":")[2] for place in form.envelope.values())}
+    for job_class in sorted(lower.classes.keys() & upper.classes.keys()):
+        if job_class not in step.classes:
+            yield ("classes", job_class), "both versions have this class, the step does not"
+    for job_class, rules in step.classes.items():
+        if job_class not in lower.classes or job_class not in upper.classes:
+            yield ("classes", job_class), "is not a class of both versions"
+            continue
+        old, new = lower.classes[job_class], upper.classes[job_class]
+        for part, side, below, above in [("request", rules.request, old.request, new.request),
+                                         ("result", rules.result, old.result, new.result)]:
+            for name in side.cannot:
+                if name in beside:
+                    yield (("classes", job_class, part, "cannot", name),
+                           "belongs to the envelope: a step must not lose key, class, tenant, id or deadline")
+            for name, rule in side.rules.items():
+                if rule.source in beside or name in beside:
+                    yield (("classes", job_class, part, "rules", name),
+                           "belongs to the envelope, which no step may touch")
+            for name, why in steps.problems(side, below, above):
+                if not {name, side.rules[name].source if name in side.rules else ""} & beside:
+                    yield ("classes", job_class, part, "rules", *name.split(".")), f"{name}: {why}"
--- /dev/null
+++ b/pipitshed/translation/protobuf.py
@@ -0,0 +1,192 @@
+"""The protobuf form: records to the messages of docs/interfaces/planner.proto and back."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+from google.protobuf import descriptor as pb
+from google.protobuf.message import DecodeError, Message
+from google.protobuf.unknown_fields import UnknownFieldSet
+
+from pipitshed.interfaces import planner_pb2
+from pipitshed.translation.codecs import WHOLE
+from pipitshed.translation.values import Field, Record, Unfit, check_record, parse_time, render_time
+
+_D = pb.FieldDescriptor
+_RANGES = {_D.TYPE_UINT32: (0, 2**32 - 1), _D.TYPE_INT32: (-2**31, 2**31 - 1), _D.TYPE_UINT64: (0, 2**64 - 1),
+           _D.TYPE_INT64: (-2**63, 2**63 - 1)}
+# What of our types a field of the interface may hold.
+_HOLDS = {_D.TYPE_STRING: "text", _D.TYPE_BOOL: "flag", _D.TYPE_ENUM: "choice"}
+
+
+def _prefix(enum: Any) -> str:
+    """Of an enum's names, as the style guide has it: HANDLING_ for Handling."""
+    name = "".join(f"_{char}" if char.isupper() and place else char for place, char in enumerate(enum.name))
+    return name.upper() + "_"
+
+
+def problems(message: str, fields: Mapping[str, Field]) -> list[tuple[str, str]]:
+    """(field, reason) for each field that the interface's message, such as `RunRequest.quote`, does not
+    hold as the form has it; all of the message's fields must stand in the form."""
+    descriptor = _descriptor(message)
+    if descriptor is None:
+        return [("", f"the interface has no message {message!r}")]
+    return _problems(descriptor, fields)
+
+
+def _problems(descriptor: Any, fields: Mapping[str, Field]) -> list[tuple[str, str]]:
+    found: list[tuple[str, str]] = []
+    for name, field in fields.items():
+        held = descriptor.fields_by_name.get(name)
+        if held is None:
+            found.append((name, f"{descriptor.name} has no such field"))
+        elif field.type == "records":
+            if held.type != _D.TYPE_MESSAGE or not held.is_repeated:
+                found.append((name, f"{descriptor.name} holds no records there"))
+            else:
+                found += [(f"{name}.{inner}", why)
+                          for inner, why in _problems(held.message_type, field.fields)]
+        elif held.is_repeated != (field.type == "texts"):
+            found.append((name, f"{descriptor.name} holds {'a list' if held.is_repeated else 'one value'}"))
+        elif held.type in _RANGES:
+            if field.type not in ("integer", "time") or (field.type == "time" and field.unit == "rfc3339"):
+                found.append((name, f"{descriptor.name} holds a whole number, not {field.type}"))
+        elif _HOLDS.get(held.type) != ("text" if field.type == "texts" else field.type):
+            found.append((name, f"{descriptor.name} can't hold {field.type}"))
+        elif held.type == _D.TYPE_ENUM:
+            known = held.enum_type.values_by_name
+            found += [(name, f"{held.enum_type.name} has no {choice!r}") for choice in field.choices
+                      if _prefix(held.enum_type) + choice.upper() not in known]
+    found += [(name, f"a field of {descriptor.name} that the form does not name")
+              for name in descriptor.fields_by_name if name not in fields]
+    return found
+
+
+def _descriptor(message: str) -> Any:
+    outer, _, inner = message.partition(".")
+    found = planner_pb2.DESCRIPTOR.message_types_by_name.get(outer)
+    field = found.fields_by_name.get(inner) if found is not None else None
+    return field.message_type if field is not None else None
+
+
+class ProtobufCodec:
+    """One message, as the part of a oneof: `RunRequest.quote` is the field `quote` of RunRequest."""
+
+    def __init__(self, message: str, fields: Mapping[str, Field]) -> None:
+        outer, _, self._part = message.partition(".")
+        self._outer: type[Message] = getattr(planner_pb2, outer)
+        descriptor = _descriptor(message)
+        self.fields = _bounded(descriptor, fields)
+        self._plan = _plan(descriptor, self.fields)
+
+    def decode(self, data: bytes) -> Record:
+        message = self._outer()
+        try:
+            message.ParseFromString(data)
+        except DecodeError:
+            raise Unfit(WHOLE, data[:32], "is not a message of this interface") from None
+        return self.read(message)
+
+    def read(self, message: Message) -> Record:
+        """The record of a message that is parsed already."""
+        if len(UnknownFieldSet(message)):
+            raise Unfit(WHOLE, "", "holds a field that this interface does not know")
+        if not message.HasField(self._part):
+            raise Unfit(self._part, "", "is missing")
+        return check_record(self.fields, _read(getattr(message, self._part), self._plan))
+
+    def encode(self, record: Record) -> bytes:
+        check_record(self.fields, record)
+        message = self._outer()
+        part = getattr(message, self._part)
+        part.SetInParent()
+        _write(part, record, self._plan)
+        return message.SerializeToString()
+
+
+class _Slot:
+    """How one field is read and written."""
+
+    __slots__ = ("name", "field", "numbers", "names", "plan")
+
+    def __init__(self, held: Any, name: str, field: Field) -> None:
+        self.name, self.field = name, field
+        self.numbers: dict[str, int] = {}
+        self.names: dict[int, str] = {}
+        self.plan: list[_Slot] = []
+        if field.type == "choice":
+            known = held.enum_type.values_by_name
+            self.numbers = {choice: known[_prefix(held.enum_type) + choice.upper()].number
+                            for choice in field.choices}
+            self.names = {number: choice for choice, number in self.numbers.items()}
+        elif field.type == "records":
+            self.plan = _plan(held.message_type, field.fields)
+
+
+def _plan(descriptor: Any, fields: Mapping[str, Field]) -> list[_Slot]:
+    return [_Slot(descriptor.fields_by_name[name], name, field) for name, field in fields.items()]
+
+
+def _bounded(descriptor: Any, fields: Mapping[str, Field]) -> dict[str, Field]:
+    """The fields with the bounds of the interface's own types, where the form states none narrower. A time's
+    are checked when it is written, in its own unit."""
+    bounded: dict[str, Field] = {}
+    for name, field in fields.items():
+        held = descriptor.fields_by_name[name]
+        if field.type == "integer" and held.type in _RANGES:
+            least, most = _RANGES[held.type]
+            field = Field("integer", field.required,
+                          least if field.least is None else max(least, field.least),
+                          most if field.most is None else min(most, field.most))
+        elif field.type == "records":
+            field = Field("records", field.required, fields=_bounded(held.message_type, field.fields))
+        bounded[name] = field
+    return bounded
+
+
+def _read(message: Any, plan: list[_Slot]) -> Record:
+    if len(UnknownFieldSet(message)):
+        raise Unfit(WHOLE, "", "holds a field that this interface does not know")
+    record: Record = {}
+    for slot in plan:
+        name, kind = slot.name, slot.field.type
+        if kind == "texts":
+            if items := list(getattr(message, name)):
+                record[name] = items
+        elif kind == "records":
+            if inner := [_read(item, slot.plan) for item in getattr(message, name)]:
+                record[name] = inner
+        elif message.HasField(name):
+            value = getattr(message, name)
+            if kind == "choice":
+                if value not in slot.names:
+                    raise Unfit(name, value, "is a choice that this form does not know")
+                value = slot.names[value]
+            elif kind == "time":
+                value = parse_time(name, slot.field, value)
+            record[name] = value
+    return record
+
+
+def _write(message: Any, record: Record, plan: list[_Slot]) -> None:
+    for slot in plan:
+        name, kind = slot.name, slot.field.type
+        if name not in record:
+            continue
+        value = record[name]
+        if kind == "texts":
+            getattr(message, name).extend(value)
+        elif kind == "records":
+            held = getattr(message, name)
+            for item in value:
+                _write(held.add(), item, slot.plan)
+        else:
+            if kind == "choice":
+                value = slot.numbers[value]
+            elif kind == "time":
+                value = render_time(name, slot.field, value)
+            try:
+                setattr(message, name, value)
+            except ValueError:
+                raise Unfit(name, value, "is out of the interface's range") from None
--- /dev/null
+++ b/pipitshed/translation/steps.py
@@ -0,0 +1,236 @@
+"""Steps between neighbouring versions, and chains of them: records up and down.
+
+A rule stands under the name of the upper version's field and says where it comes from in the lower one. It
+works both ways: what `up` makes of a record, `down` makes into the same record again, with stated defaults
+written out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+from decimal import Decimal, Inexact
+from typing import Any
+
+import msgspec
+
+from pipitshed.translation.values import EXACT, Field, Record, Unfit
+
+
+class Rule(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """One field of the upper version."""
+
+    source: str = msgspec.field(default="", name="from")  # the lower version's field; none: it knows none
+    scale: int = 1  # the upper value is so many times the lower one
+    values: dict[str, str] = {}  # lower choice (or true, false): upper choice; none twice
+    default: str | int | float | bool | None = None  # upper value where the lower side tells none
+    cannot: str = ""  # why the lower version can't express the field, or be given one
+    fields: dict[str, Rule] = {}  # of records
+
+
+class Side(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """The rules for one message, by the upper version's fields."""
+
+    rules: dict[str, Rule] = {}
+    cannot: dict[str, str] = {}  # lower fields that the upper version can't express, and why
+
+
+class ClassSteps(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """The step for one class."""
+
+    request: Side = Side()
+    result: Side = Side()
+
+
+_NUMBERS = ("integer", "decimal")
+
+
+def problems(side: Side, lower: Mapping[str, Field], upper: Mapping[str, Field]) -> Iterator[tuple[str, str]]:
+    """(field, reason) for each field of either version that the rules leave out or can't carry over."""
+    used: dict[str, str] = {}
+    for name, rule in side.rules.items():
+        target, source = upper.get(name), lower.get(rule.source)
+        if target is None:
+            yield name, "is not a field of the upper version"
+            continue
+        if rule.source:
+            if source is None:
+                yield name, f"comes from {rule.source!r}, which is not a field of the lower version"
+                continue
+            if rule.source in used:
+                yield name, f"{rule.source!r} goes to {used[rule.source]!r} already"
+            used[rule.source] = name
+            yield from _carries(name, rule, source, target)
+        elif rule.default is None and not rule.cannot:
+            yield name, "comes from nowhere: it needs `from`, `default` or `cannot`"
+        if rule.default is not None:
+            yield from _default_fits(name, rule, target)
+    for name, field in upper.items():
+        if name not in side.rules:
+            yield name, "has no rule" + (", though the upper version requires it" if field.required else "")
+    for name in lower:
+        if name not in used and name not in side.cannot:
+            yield name, "would be dropped: no rule takes it, and `cannot` gives no reason"
+    for name in side.cannot:
+        if name not in lower:
+            yield name, "is not a field of the lower version"
+        elif name in used:
+            yield name, f"can't be expressed, yet goes to {used[name]!r}"
+
+
+def _carries(name: str, rule: Rule, source: Field, target: Field) -> Iterator[tuple[str, str]]:
+    if target.required and not source.required and rule.default is None and not rule.cannot:
+        yield name, "is required by the upper version alone: it needs `default`, or `cannot` with a reason"
+    if rule.values:
+        lower = ("true", "false") if source.type == "flag" else source.choices
+        upper = ("true", "false") if target.type == "flag" else target.choices
+        for old, new in rule.values.items():
+            if old not in lower:
+                yield name, f"{old!r} is not a choice of the lower version"
+            if new not in upper:
+                yield name, f"{new!r} is not a choice of the upper version"
+        if len(set(rule.values.values())) != len(rule.values):
+            yield name, "two choices become one, and could not be told apart again"
+    elif source.type in _NUMBERS and target.type in _NUMBERS:
+        if rule.scale < 1:
+            yield name, "scale is not a whole number from 1 on"
+    elif source.type != target.type:
+        yield name, f"{source.type} can't become {target.type}"
+    elif source.type == "records":
+        inner = Side(rule.fields, {})
+        yield from ((f"{name}.{field}", why) for field, why in problems(inner, source.fields, target.fields))
+    elif source.type == "choice" and set(source.choices) - set(target.choices) and not rule.values:
+        missing = ", ".join(sorted(set(source.choices) - set(target.choices)))
+        yield name, f"the upper version has no {missing}: it needs `values`"
+
+
+def _default_fits(name: str, rule: Rule, target: Field) -> Iterator[tuple[str, str]]:
+    held: dict[str, tuple[type, ...]] = {
+        "text": (str,), "choice": (str,), "integer": (int,), "decimal": (int, float), "flag": (bool,)}
+    if not isinstance(rule.default, held.get(target.type, ())) or (
+            target.type == "choice" and rule.default not in target.choices) or (
+            target.type == "integer" and isinstance(rule.default, bool)):
+        yield name, f"{rule.default!r} is no {target.type} of the upper version"
+
+
+class _Mover:
+    """One rule, made ready."""
+
+    __slots__ = ("name", "source", "scale", "up", "down", "default", "cannot", "inner", "whole", "required",
+                 "source_whole")
+
+    def __init__(self, name: str, rule: Rule, lower: Mapping[str, Field], upper: Mapping[str, Field]) -> None:
+        target, source = upper[name], lower.get(rule.source)
+        self.name, self.source, self.cannot = name, rule.source, rule.cannot
+        self.scale = rule.scale
+        self.whole = target.type == "integer"
+        self.source_whole = source is not None and source.type == "integer"
+        self.required = target.required
+        self.default: Any = rule.default
+        if target.type == "decimal" and rule.default is not None:
+            self.default = Decimal(str(rule.default))
+        flags: dict[str, Any] = {"true": True, "false": False}
+        lower_flag = source is not None and source.type == "flag"
+        self.up = {flags[old] if lower_flag else old: flags[new] if target.type == "flag" else new
+                   for old, new in rule.values.items()}
+        self.down = {new: old for old, new in self.up.items()}
+        self.inner: list[_Mover] = []
+        if target.type == "records" and source is not None:
+            self.inner = [_Mover(one, inner, source.fields, target.fields)
+                          for one, inner in rule.fields.items()]
+
+    def turn_up(self, value: Any, place: str) -> Any:
+        if self.inner:
+            return [_up(self.inner, {}, item, f"{place}[{index}].") for index, item in enumerate(value)]
+        if self.up:
+            if value not in self.up:
+                raise Unfit(place, value, "has no counterpart in the newer form")
+            return self.up[value]
+        if self.scale != 1 or self.whole != self.source_whole:
+            scaled = EXACT.multiply(Decimal(value), Decimal(self.scale))
+            if not self.whole:
+                return scaled
+            if scaled != scaled.to_integral_value():
+                raise Unfit(place, value, "is finer than the newer form can express")
+            return int(scaled)
+        return value
+
+    def turn_down(self, value: Any, place: str) -> Any:
+        if self.inner:
+            return [_down(self.inner, item, f"{place}[{index}].") for index, item in enumerate(value)]
+        if self.down:
+            if value not in self.down:
+                raise Unfit(place, value, "has no counterpart in the older form")
+            return self.down[value]
+        if self.scale != 1 or self.whole != self.source_whole:
+            if self.source_whole:
+                whole, rest = divmod(value, self.scale)
+                if rest:
+                    raise Unfit(place, value, "is finer than the older form can express")
+                return int(whole)
+            try:
+                return EXACT.divide(Decimal(value), Decimal(self.scale))
+            except Inexact:
+                raise Unfit(place, value, "can't be expressed exactly by the older form") from None
+        return value
+
+
+def _up(movers: Sequence[_Mover], cannot: Mapping[str, str], record: Record, place: str = "") -> Record:
+    for name, why in cannot.items():
+        if name in record:
+            raise Unfit(place + name, record[name], why)
+    made: Record = {}
+    for mover in movers:
+        if mover.source and mover.source in record:
+            made[mover.name] = mover.turn_up(record[mover.source], place + mover.source)
+        elif mover.default is not None:
+            made[mover.name] = mover.default
+        elif mover.required:
+            raise Unfit(place + mover.name, "", mover.cannot or "is required by the newer form and not told")
+    return made
+
+
+def _down(movers: Sequence[_Mover], record: Record, place: str = "") -> Record:
+    made: Record = {}
+    for mover in movers:
+        if mover.name not in record:
+            continue
+        value = record[mover.name]
+        if mover.source:
+            made[mover.source] = mover.turn_down(value, place + mover.name)
+        elif mover.default is None or value != mover.default:
+            raise Unfit(place + mover.name, value, mover.cannot or "can't be expressed by the older form")
+    return made
+
+
+class Step:
+    """One message between two neighbouring versions."""
+
+    def __init__(self, side: Side, lower: Mapping[str, Field], upper: Mapping[str, Field]) -> None:
+        self._movers = [_Mover(name, rule, lower, upper) for name, rule in side.rules.items()]
+        self._cannot = dict(side.cannot)
+
+    def up(self, record: Record) -> Record:
+        """The upper version's record; Unfit where it can't be expressed there."""
+        return _up(self._movers, self._cannot, record)
+
+    def down(self, record: Record) -> Record:
+        """The lower version's record; Unfit where it can't be expressed there."""
+        return _down(self._movers, record)
+
+
+class Chain:
+    """Steps one after the other, from a lower version to an upper one."""
+
+    def __init__(self, steps: Sequence[Step]) -> None:
+        self._steps = tuple(steps)
+        self._back = tuple(reversed(self._steps))
+
+    def up(self, record: Record) -> Record:
+        for step in self._steps:
+            record = step.up(record)
+        return record
+
+    def down(self, record: Record) -> Record:
+        for step in self._back:
+            record = step.down(record)
+        return record
--- /dev/null
+++ b/pipitshed/translation/values.py
@@ -0,0 +1,210 @@
+"""Typed fields and their values, as they stand between forms.
+
+| type      | value between forms                    |
+| --------- | -------------------------------------- |
+| `text`    | str                                    |
+| `integer` | int                                    |
+| `decimal` | Decimal, exact                         |
+| `flag`    | bool                                   |
+| `time`    | int, microseconds of Unix time         |
+| `choice`  | str, one of the field's `choices`      |
+| `texts`   | list of str                            |
+| `records` | list of dict by the field's `fields`   |
+"""
+
+from __future__ import annotations
+
+import datetime
+import re
+from decimal import Context, Decimal, Inexact, InvalidOperation
+from typing import Any, Literal
+
+import msgspec
+
+Record = dict[str, Any]
+TimeUnit = Literal["rfc3339", "unix-s", "unix-ms"]
+SHOWN = 64  # characters of a value that a refusal names
+_PER_UNIT = {"unix-s": 1_000_000, "unix-ms": 1_000}
+_INTEGER = re.compile(r"-?(0|[1-9][0-9]{0,18})")
+_DECIMAL = re.compile(r"-?(0|[1-9][0-9]{0,18})(\.[0-9]{1,12})?")
+_RFC3339 = re.compile(r"(\d{4}-\d\d-\d\d[Tt]\d\d:\d\d:\d\d)(\.\d{1,6})?([Zz]|[+-]\d\d:\d\d)")
+_DIGITS = 40  # of a decimal, all told
+# Nothing is rounded on the way: what would be raises instead.
+EXACT = Context(prec=80, Emax=999_999, Emin=-999_999, traps=[Inexact, InvalidOperation])
+_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
+_MICROSECOND = datetime.timedelta(microseconds=1)
+
+
+class Unfit(ValueError):  # noqa: N818 - the word that refusals use
+    """A message that a form or a step can't express: a final answer, never a guess."""
+
+    def __init__(self, field: str, value: object, reason: str) -> None:
+        self.field = field
+        self.value = shown(value)
+        self.reason = reason
+        super().__init__(f"{field}: {reason}")
+
+    def within(self, place: str) -> Unfit:
+        """The same, of a field of a nested record."""
+        return Unfit(f"{place}.{self.field}", self.value, self.reason)
+
+
+def shown(value: object) -> str:
+    """A value as a refusal names it: short and printable."""
+    text = value if isinstance(value, str) else str(value)
+    text = "".join(char if char.isprintable() else "\N{REPLACEMENT CHARACTER}" for char in text[:SHOWN + 1])
+    return text if len(text) <= SHOWN else text[:SHOWN] + "\N{HORIZONTAL ELLIPSIS}"
+
+
+class Field(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """One field of a form; bounds are inclusive."""
+
+    type: Literal["text", "integer", "decimal", "flag", "time", "choice", "texts", "records"]
+    required: bool = False
+    least: int | None = None
+    most: int | None = None
+    places: int = 6  # of a decimal, behind its point
+    longest: int = 4096  # characters of a text
+    unit: TimeUnit = "rfc3339"
+    choices: tuple[str, ...] = ()
+    fields: dict[str, Field] = {}  # of records
+
+
+def check(name: str, field: Field, value: Any) -> Any:
+    """The value, if the field can hold it; Unfit where it can't."""
+    kind = field.type
+    if kind == "text":
+        if not isinstance(value, str):
+            raise Unfit(name, value, "is not text")
+        if len(value) > field.longest:
+            raise Unfit(name, value, f"is longer than {field.longest} characters")
+        if any("\ud800" <= char <= "\udfff" for char in value):
+            raise Unfit(name, value, "is not UTF-8")
+    elif kind == "flag":
+        if not isinstance(value, bool):
+            raise Unfit(name, value, "is neither true nor false")
+    elif kind == "choice":
+        if value not in field.choices or not isinstance(value, str):
+            raise Unfit(name, value, f"is not one of {', '.join(field.choices)}")
+    elif kind in ("integer", "time"):
+        if isinstance(value, bool) or not isinstance(value, int):
+            raise Unfit(name, value, "is not a whole number" if kind == "integer" else "is not a time")
+        _within(name, field, value)
+    elif kind == "decimal":
+        if isinstance(value, int) and not isinstance(value, bool):
+            value = Decimal(value)
+        if not isinstance(value, Decimal) or not value.is_finite():
+            raise Unfit(name, value, "is not a number")
+        if len(value.as_tuple().digits) > _DIGITS or not -_DIGITS < value.adjusted() < 19:
+            raise Unfit(name, value, "is out of range")
+        exponent = value.normalize(EXACT).as_tuple().exponent
+        if isinstance(exponent, int) and -exponent > field.places:
+            raise Unfit(name, value, f"has more than {field.places} places")
+        _within(name, field, value)
+    elif kind == "texts":
+        if not isinstance(value, list):
+            raise Unfit(name, value, "is not a list")
+        for place, item in enumerate(value):
+            check(f"{name}[{place}]", Field("text", longest=field.longest), item)
+    else:
+        if not isinstance(value, list):
+            raise Unfit(name, value, "is not a list")
+        for place, item in enumerate(value):
+            check_record(field.fields, item, f"{name}[{place}]")
+    return value
+
+
+def _within(name: str, field: Field, value: int | Decimal) -> None:
+    if field.least is not None and value < field.least:
+        raise Unfit(name, value, f"is under {field.least}")
+    if field.most is not None and value > field.most:
+        raise Unfit(name, value, f"is over {field.most}")
+
+
+def check_record(fields: dict[str, Field], record: Any, place: str = "") -> Record:
+    """The record, if it has the fields it must have, no other, and each in its bounds."""
+    prefix = f"{place}." if place else ""
+    if not isinstance(record, dict):
+        raise Unfit(place or "the message", record, "is not a record")
+    for name, value in record.items():
+        field = fields.get(name)
+        if field is None:
+            raise Unfit(prefix + name, value, "is not a field of this form")
+        record[name] = check(prefix + name, field, value)
+    for name, field in fields.items():
+        if field.required and name not in record:
+            raise Unfit(prefix + name, "", "is required and missing")
+    return record
+
+
+# ---- values as text, for forms that have nothing else
+
+
+def parse(name: str, field: Field, text: str) -> Any:
+    """A value from its text; Unfit where it is none of the field's type. Bounds are `check`'s."""
+    kind = field.type
+    if kind == "integer":
+        if not _INTEGER.fullmatch(text):
+            raise Unfit(name, text, "is not a whole number")
+        return int(text)
+    if kind == "decimal":
+        if not _DECIMAL.fullmatch(text):
+            raise Unfit(name, text, "is not a decimal number")
+        return Decimal(text)
+    if kind == "flag":
+        if text not in ("0", "1"):
+            raise Unfit(name, text, "is neither 0 nor 1")
+        return text == "1"
+    if kind == "time":
+        return parse_time(name, field, text)
+    return text
+
+
+def render(name: str, field: Field, value: Any) -> str:
+    """The text of a value that `parse` reads again as the same."""
+    if field.type == "flag":
+        return "1" if value else "0"
+    if field.type == "decimal":
+        return f"{value:f}"
+    if field.type == "time":
+        return str(render_time(name, field, value))
+    return str(value)
+
+
+def parse_time(name: str, field: Field, value: Any) -> int:
+    """Microseconds of Unix time from a form's own unit."""
+    if field.unit == "rfc3339":
+        found = _RFC3339.fullmatch(value) if isinstance(value, str) else None
+        if found is None:
+            raise Unfit(name, value, "is not a time as RFC 3339 has it, to the microsecond")
+        whole, part, zone = found.groups()
+        try:
+            moment = datetime.datetime.fromisoformat(
+                whole.upper() + (part or "") + ("+00:00" if zone in "Zz" else zone))
+        except ValueError:
+            raise Unfit(name, value, "is no date") from None
+        return (moment - _EPOCH) // _MICROSECOND
+    if isinstance(value, str):
+        if not _INTEGER.fullmatch(value):
+            raise Unfit(name, value, "is not a whole number of Unix time")
+        value = int(value)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise Unfit(name, value, "is not a whole number of Unix time")
+    return value * _PER_UNIT[field.unit]
+
+
+def render_time(name: str, field: Field, value: int) -> str | int:
+    """A time in a form's own unit; Unfit where it is finer or farther than that."""
+    if field.unit == "rfc3339":
+        try:
+            moment = _EPOCH + value * _MICROSECOND
+        except OverflowError:
+            raise Unfit(name, value, "is out of the years 1 to 9999") from None
+        text = moment.strftime("%Y-%m-%dT%H:%M:%S").zfill(19)
+        part = f".{moment.microsecond:06d}".rstrip("0") if moment.microsecond else ""
+        return f"{text}{part}Z"
+    whole, rest = divmod(value, _PER_UNIT[field.unit])
+    if rest:
+        unit = "a second" if field.unit == "unix-s" else "a millisecond"
+        raise Unfit(name, value, f"is finer than {unit}")
+    return whole
--- /dev/null
+++ b/pipitshed/wire/grpc.py
@@ -0,0 +1,85 @@
+"""gRPC's framing over HTTP/2: prefixes, time-outs, statuses, and an h2 connection that bears GOAWAY."""
+
+from __future__ import annotations
+
+import enum
+import struct
+from collections.abc import Iterator
+
+import h2.config
+import h2.connection
+import h2.errors
+import h2.events
+from hyperframe.frame import Frame, GoAwayFrame
+
+from pipitshed.wire.http import BODY_LIMIT
+
+PREFIX = struct.Struct(">BI")  # compressed or not, and the message's length
+MESSAGE_LIMIT = 4 * BODY_LIMIT  # bytes of one message
+LONGEST_TIMEOUT = 99_999_999  # of any unit: eight digits
+
+
+class BadMessageError(ValueError):
+    """A message that is compressed or too long."""
+
+
+class Status(enum.IntEnum):
+    """The statuses that mean something of their own here."""
+
+    OK = 0
+    CANCELLED = 1
+    DEADLINE_EXCEEDED = 4
+    UNIMPLEMENTED = 12
+    UNAVAILABLE = 14
+
+
+def frame(message: bytes) -> bytes:
+    """One message with its prefix."""
+    return PREFIX.pack(0, len(message)) + message
+
+
+def messages(buffer: bytearray) -> Iterator[bytes]:
+    """The whole messages in the buffer, used up as they are taken. BadMessageError where one is compressed or
+    too long: told by the prefix, before it is kept."""
+    while len(buffer) >= PREFIX.size:
+        compressed, length = PREFIX.unpack_from(buffer)
+        if compressed:
+            raise BadMessageError("a message is compressed, which was not offered")
+        if length > MESSAGE_LIMIT:
+            raise BadMessageError(f"a message of {length} bytes is too long")
+        if len(buffer) < PREFIX.size + length:
+            return
+        message = bytes(buffer[PREFIX.size:PREFIX.size + length])
+        del buffer[:PREFIX.size + length]
+        yield message
+
+
+def timeout_text(seconds: float) -> bytes:
+    """The value of `grpc-timeout`, never rounded up; under a microsecond there is none left."""
+    micros = max(0, int(seconds * 1_000_000))
+    if micros <= LONGEST_TIMEOUT:
+        return b"%du" % micros
+    return b"%dm" % min(LONGEST_TIMEOUT, micros // 1000)
+
+
+class Http2(h2.connection.H2Connection):
+    """A client's connection that outlives GOAWAY.
+
+    Source: RFC 9113, 6.8: streams up to the last id may still end. h2 itself closes the connection's state at
+    the first GOAWAY and takes every later frame for an error, so this one method is its own.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(h2.config.H2Configuration(
+            client_side=True, header_encoding=None, validate_outbound_headers=False,
+            normalize_outbound_headers=False))
+
+    def _receive_goaway_frame(self, frame: GoAwayFrame) -> tuple[list[Frame], list[h2.events.Event]]:
+        event = h2.events.ConnectionTerminated()
+        try:
+            event.error_code = h2.errors.ErrorCodes(frame.error_code)
+        except ValueError:
+            event.error_code = frame.error_code
+        event.last_stream_id = frame.last_stream_id
+        event.additional_data = frame.additional_data or None
+        return [], [event]
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -204,7 +204,8 @@
                 port = int(running.log[-1].rpartition(":")[2])
                 running.port, running.gearman_port = (port, 0) if place == 0 else (running.port, port)
             yield running
-            if process.returncode is None:
+            # One that has said that it has ended is past its handlers: another signal would kill it.
+            if process.returncode is None and not any("ended:" in line for line in running.log):
                 process.send_signal(signal.SIGTERM)
             rest, _ = await process.communicate()
             running.log += rest.decode().splitlines(keepends=True)
