A laboratory: lab up, and old clients against a fleet rolled to gRPC with exact accounts

Need: a newcomer has no configuration to start with, and no claim on a mixed fleet could be measured.

Change: stand-in planners of both interfaces (interface 2 on grpcio's server), discovery, gates that cut, old clients of four kinds; lab up, lab run, schema, init. Class and tenant go to planners of interface 1 by name where messages are translated.

--- a/pipitshed/cli.py
+++ b/pipitshed/cli.py
@@ -8,7 +8,7 @@
 import click
 
 from pipitshed import __version__
-from pipitshed.config import Config, ConfigError, Front, load, load_front
+from pipitshed.config import Config, ConfigError, Front, FrontFile, load, load_front
 from pipitshed.scheduler import serve as run_scheduler
 
 
@@ -25,11 +25,33 @@
         sys.exit(2)
 
 
-@click.group()
+class _Commands(click.Group):
+    """The commands; the laboratory's are imported when they are asked for, as they need its extra."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), "lab"])
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name != "lab":
+            return super().get_command(ctx, name)
+        try:
+            from pipitshed.lab.commands import lab
+        except ImportError as error:
+            click.echo(f"pipitshed: the laboratory needs the extra `lab`: {error}", err=True)
+            sys.exit(2)
+        return lab
+
+
+@click.group(cls=_Commands)
 def main() -> None:
     """A scheduler that pushes jobs to planners."""
 
 
+def _versions(asked: Front) -> str:
+    assert asked.translation is not None
+    return ", ".join(str(form.version) for form in asked.translation.file.forms)
+
+
 @main.command()
 @front_option
 def serve(front: Path) -> None:
@@ -50,7 +72,40 @@
     gearman = ", ".join(f"{host}:{port}" for host, port in asked.listen) or "off"
     click.echo(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, "
                f"classes {', '.join(config.classes)}, "
-               f"{len(config.known.instances) if config.known else 0} planners known, Gearman {gearman}")
+               f"{len(config.known.instances) if config.known else 0} planners known, Gearman {gearman}"
+               + (f", forms {_versions(asked)} translated" if asked.translation else ""))
+
+
+@main.command()
+@click.argument("which", type=click.Choice(["front", "translation", "experiment"]))
+def schema(which: str) -> None:
+    """Print the JSON Schema of one of the files, made from the types that read it."""
+    import msgspec
+    kinds: dict[str, type] = {"front": FrontFile}
+    if which == "translation":
+        from pipitshed.translation.file import TranslationFile
+        kinds[which] = TranslationFile
+    elif which == "experiment":
+        from pipitshed.lab.experiment import Experiment
+        kinds[which] = Experiment
+    made = {"$schema": "https://json-schema.org/draft/2020-12/schema"} | msgspec.json.schema(kinds[which])
+    click.echo(msgspec.json.format(msgspec.json.encode(made), indent=2).decode())
+
+
+@main.command()
+@click.argument("folder", type=click.Path(path_type=Path, file_okay=False))
+def init(folder: Path) -> None:
+    """Write a configuration, a commented front file and a translation file into FOLDER."""
+    from importlib.resources import files
+    templates = files("pipitshed.templates")
+    folder.mkdir(parents=True, exist_ok=True)
+    names = ("config.json", "front.toml", "translation.toml")
+    if standing := [name for name in names if (folder / name).exists()]:
+        click.echo(f"pipitshed: {folder} has {', '.join(standing)} already: nothing is written", err=True)
+        sys.exit(2)
+    for name in names:
+        (folder / name).write_text((templates / name).read_text())
+    click.echo(f"LB_CONFIG={folder / 'config.json'} pipitshed check --front {folder / 'front.toml'}")
 
 
 @main.command()
--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -42,12 +42,19 @@
     return "".join(char for char in text if " " <= char <= "~")
 
 
-def request_bytes(hop: Hop, left: float) -> bytes:
-    """The whole request of a hop, which has `left` seconds."""
+def request_bytes(hop: Hop, left: float, classes: Sequence[str] = ()) -> bytes:
+    """The whole request of a hop, which has `left` seconds. Where messages are translated, class and tenant
+    go with it by name, as they do on every interface there."""
     request = hop.exchange.request
+    told = ""
+    if hop.exchange.prepared is not None:
+        told = f"X-Class: {classes[request.job_class]}\r\n"
+        if request.tenant_name:
+            told += f"X-Tenant: {request.tenant_name}\r\n"
     key = f"Idempotency-Key: {_header_text(request.key)}\r\n" if request.key else ""
     return (f"{request.verb} {request.resource} HTTP/1.1\r\nHost: service.internal\r\n"
-            f"X-Request-Id: {_header_text(request.id)}\r\n{key}X-Deadline: {max(0.001, left):.3f}\r\n"
+            f"X-Request-Id: {_header_text(request.id)}\r\n{key}{told}"
+            f"X-Deadline: {max(0.001, left):.3f}\r\n"
             f"Content-Length: {len(hop.body)}\r\n\r\n").encode("latin-1") + hop.body
 
 
@@ -216,6 +223,7 @@
     def __init__(self, core: Core, fields: Sequence[str], loop: asyncio.AbstractEventLoop) -> None:
         self.core = core
         self.fields = fields
+        self.classes: Sequence[str] = ()  # by name, where messages are translated
         self.loop = loop
         self.on_wrong_interface: Callable[[EgressTarget], None] = lambda target: None
         self._idle: dict[Address, list[_Connection]] = {}
@@ -283,7 +291,7 @@
     def _write_hop(self, connection: _Connection, hop: Hop) -> None:
         connection.hop, hop.link, hop.ran = hop, connection, True
         connection.left = None
-        connection.write(request_bytes(hop, hop.deadline - self.loop.time()))
+        connection.write(request_bytes(hop, hop.deadline - self.loop.time(), self.classes))
 
     async def _connect_for_hop(self, hop: Hop) -> None:
         timeout = min(self._connect_timeout, hop.deadline - self.loop.time())
--- /dev/null
+++ b/pipitshed/lab/accounts.py
@@ -0,0 +1,91 @@
+"""The exact account of a run: for each request what its client got and what every planner ran.
+
+It reads the clients' and the planners' records alone, not the program's own counters.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+
+from pipitshed.lab.clients import Asked
+from pipitshed.lab.fleet import Member
+from pipitshed.lab.planner import DEDUP_WINDOW, Run
+
+OVERLAP = 0.05  # s that two attempts may seem to overlap: a cancel and a send travel on two connections
+DRAIN = 1.5 + 0.05  # s
+PARTS = ("served", "refused", "failed", "withdrawn", "unanswered")
+ZERO = ("unanswered", "answered_twice", "ran_twice_forbidden", "two_outstanding", "after_drain")
+
+
+def account(asked: Iterable[Asked], runs: list[Run], members: Iterable[Member]) -> dict[str, object]:
+    """All figures, and the tokens behind each that should be zero."""
+    asked = list(asked)
+    outcomes = Counter(one.outcome for one in asked)
+    faults: dict[str, list[str]] = defaultdict(list)
+    by_token: dict[str, list[Run]] = defaultdict(list)
+    for run in runs:
+        by_token[run.token].append(run)
+    for one in asked:
+        if one.answers > 1:
+            faults["answered_twice"].append(one.token)
+        if one.wrong:
+            faults["wrong_result"].append(f"{one.token}: {one.wrong}")
+        if one.outcome == "unanswered":
+            faults["unanswered"].append(f"{one.token}: {one.kind} {one.job_class} {one.detail}")
+        mine = sorted(by_token.pop(one.token, ()), key=lambda run: run.came)
+        ran = [run for run in mine if run.how != "returned"]
+        if one.outcome == "served" and not any(run.how in ("done", "repeat") for run in ran):
+            faults["served_unrun"].append(one.token)
+        if one.outcome == "unfit" and ran:
+            faults["unfit_but_ran"].append(one.token)
+        if one.job_class == "book" and _twice(ran):
+            faults["ran_twice_forbidden"].append(one.token)
+        if any(later.came < (earlier.ended or float("inf")) - OVERLAP
+               for place, earlier in enumerate(mine) for later in mine[place + 1:]):
+            faults["two_outstanding"].append(f"{one.token}: " + "; ".join(
+                f"{run.planner} {run.came:.3f}..{run.ended:.3f} {run.how}" for run in mine))
+        # Gearman's unique id is the key of every job.
+        key = f"k-{one.token}" if one.kind.startswith("gearman") else one.key
+        told = [f"{run.planner}: {run.key!r} {run.tenant!r} {run.left:.3f}" for run in mine
+                if run.key != key or run.tenant != one.tenant or run.job_class != one.job_class
+                or not 0 < run.left <= one.patience]
+        if told:
+            faults["envelope_changed"].append(f"{one.token}: " + "; ".join(told))
+    for token in by_token:
+        faults["ran_unasked"].append(token)
+    for member in members:
+        for began, until in member.drains:
+            late = [run for run in runs if run.planner == member.name and began + DRAIN < run.came < until]
+            faults["after_drain"] += [f"{run.token}: {member.name} {run.came - began:.3f} s" for run in late]
+    figures: dict[str, object] = {"sent": len(asked), "served": outcomes["served"],
+                                  "refused": outcomes["refused"] + outcomes["unfit"],
+                                  "failed": outcomes["failed"], "withdrawn": outcomes["withdrawn"],
+                                  "unanswered": outcomes["unanswered"]}
+    for name in ZERO[1:]:
+        figures[name] = len(faults[name])
+    figures["of_refused_unfit"] = outcomes["unfit"]
+    for name in ("wrong_result", "served_unrun", "unfit_but_ran", "envelope_changed", "ran_unasked"):
+        figures[name] = len(faults[name])
+    parts = sum(outcomes[name] for name in PARTS) + outcomes["unfit"]
+    figures["adds_up"] = parts == len(asked)
+    figures["runs"] = dict(Counter(f"interface {run.interface} {run.how}" for run in runs))
+    figures["clients"] = {kind: dict(Counter(one.outcome for one in asked if one.kind == kind))
+                          for kind in sorted({one.kind for one in asked})}
+    figures["faults"] = {name: found[:20] for name, found in faults.items() if found}
+    return figures
+
+
+def broken(figures: dict[str, object]) -> list[str]:
+    """What should be zero and is not."""
+    names = (*ZERO, "wrong_result", "served_unrun", "unfit_but_ran", "envelope_changed", "ran_unasked")
+    return [f"{name} = {figures[name]}" for name in names if figures[name]] + (
+        [] if figures["adds_up"] else ["the parts do not add up to what was sent"])
+
+
+def _twice(ran: list[Run]) -> bool:
+    """Whether a keyed job may have taken effect twice: in two zones, or again behind the window in which its
+    zone's planners drop a repeat."""
+    if len({run.zone for run in ran}) > 1:
+        return True
+    return any(later.came - earlier.came > DEDUP_WINDOW for earlier in ran for later in ran)
--- /dev/null
+++ b/pipitshed/lab/commands.py
@@ -0,0 +1,66 @@
+"""The laboratory's commands."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.progress import Progress
+
+from pipitshed.lab import experiment as experiments
+from pipitshed.lab.accounts import broken
+from pipitshed.lab.up import up as run_up
+
+
+@click.group()
+def lab() -> None:
+    """A scheduler between stand-ins, to try things and to measure them."""
+
+
+@lab.command()
+@click.option("--planners", default=6, show_default=True, type=click.IntRange(1, 200), help="How many.")
+@click.option("--interface", default="mixed", show_default=True, type=click.Choice(["1", "2", "mixed"]),
+              help="What they speak.")
+@click.option("--gearman/--no-gearman", default=False, help="Listen for Gearman clients and workers too.")
+@click.option("--listen", default="127.0.0.1:0", show_default=True, help="Where HTTP clients connect.")
+def up(planners: int, interface: str, gearman: bool, listen: str) -> None:
+    """Start a scheduler, stand-in discovery and planners on loopback; a live table until Ctrl-C."""
+    experiments.raise_descriptors()
+    shape = experiments.FleetFile(planners=planners, interface=interface)  # type: ignore[arg-type]
+    try:
+        asyncio.run(run_up(shape, listen, "127.0.0.1:0" if gearman else "", Console()))
+    except (OSError, RuntimeError) as error:
+        click.echo(f"pipitshed: {error}", err=True)
+        sys.exit(2)
+
+
+@lab.command()
+@click.argument("file", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+@click.option("--json", "out", type=click.Path(path_type=Path), help="Where the account goes.")
+@click.option("--short", is_flag=True, help="As many requests as the file's `short-requests`.")
+@click.option("--seed", type=int, help="Instead of the file's.")
+def run(file: Path, out: Path | None, short: bool, seed: int | None) -> None:
+    """Play an experiment on loopback and give the exact account; exit code 1 where a rule broke."""
+    try:
+        experiment = experiments.read(file.read_text())
+    except experiments.ExperimentError as error:
+        click.echo(f"pipitshed: {file}: {error}", err=True)
+        sys.exit(2)
+    experiments.raise_descriptors()
+    requests = experiment.clients.short_requests if short else experiment.clients.requests
+    with Progress(console=Console(stderr=True), transient=True) as progress:
+        task = progress.add_task(experiment.name, total=requests)
+        figures = asyncio.run(experiments.play(
+            experiment, requests, experiment.seed if seed is None else seed,
+            lambda done: progress.update(task, completed=done)))
+    text = json.dumps(figures, indent=1)
+    if out is not None:
+        out.write_text(text + "\n")
+    click.echo(text)
+    for fault in broken(figures):
+        click.echo(f"pipitshed: broken: {fault}", err=True)
+    sys.exit(1 if broken(figures) else 0)
--- /dev/null
+++ b/pipitshed/lab/experiment.py
@@ -0,0 +1,214 @@
+"""Experiments: a fleet, clients and a script of troubles from a file, played against a live scheduler."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import resource
+import time
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+from time import monotonic
+from typing import Literal
+
+import msgspec
+
+from pipitshed.lab.accounts import account
+from pipitshed.lab.clients import KINDS, Asked, GearmanClients, HttpClients, draw
+from pipitshed.lab.fleet import Fleet
+from pipitshed.lab.planner import Behaviour
+from pipitshed.lab.program import Running, scheduler
+
+SETTLE = 0.3  # s after the start before traffic: what has no told interface is found out
+
+
+class FleetFile(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+    """The planners; `tells` is the part whose rows tell their interface."""
+
+    planners: int = 6
+    interface: Literal["1", "2", "mixed"] = "1"
+    tells: float = 0.5
+    slots: int = 16
+    queue: int = 64
+    fail: float = 0.0
+    quote_ms: tuple[float, float] = (10.0, 40.0)
+    book_ms: tuple[float, float] = (30.0, 90.0)
+
+
+class ClientsFile(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+    """The traffic, open loop: requests are due at a rate whatever becomes of the others."""
+
+    requests: int = 20_000
+    short_requests: int = 3_000
+    rate: float = 300.0  # a second
+    mix: dict[str, float] = msgspec.field(default_factory=lambda: {"http-v1": 1.0})
+    book: float = 0.4  # part of the requests that are `book`
+    cancel: float = 0.0  # part whose client goes early
+    unfit: float = 0.0  # part of version 1 with a field that interface 2 can't express
+
+
+class Trouble(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+    """One event of the script, at a part of the traffic's length."""
+
+    at: float
+    do: Literal["roll", "goaway", "crash", "cut", "slow"]
+    planner: int = 0  # counted from 1; 0: drawn
+    interface: int = 2  # with which a rolled planner comes back
+    seconds: float = 1.0  # that it is down, or slow
+    factor: float = 8.0  # how much slower
+
+
+class Experiment(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+    """The whole file."""
+
+    name: str
+    seed: int = 1
+    fleet: FleetFile = msgspec.field(default_factory=FleetFile)
+    clients: ClientsFile = msgspec.field(default_factory=ClientsFile)
+    troubles: list[Trouble] = []
+
+
+class ExperimentError(ValueError):
+    """The file can't be played; the text says why."""
+
+
+def read(text: str) -> Experiment:
+    """The typed experiment."""
+    try:
+        experiment = msgspec.convert(tomllib.loads(text), Experiment)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise ExperimentError(str(error)) from None
+    if unknown := set(experiment.clients.mix) - set(KINDS):
+        raise ExperimentError(f"clients.mix: no such clients: {', '.join(sorted(unknown))}")
+    for trouble in experiment.troubles:
+        if not 0 <= trouble.planner <= experiment.fleet.planners:
+            raise ExperimentError(f"troubles: there is no planner {trouble.planner}")
+    return experiment
+
+
+def interfaces(fleet: FleetFile) -> list[int]:
+    """The interface of each planner at the start; a mixed fleet has both in each zone."""
+    if fleet.interface != "mixed":
+        return [int(fleet.interface)] * fleet.planners
+    return [1 + place // 2 % 2 for place in range(fleet.planners)]
+
+
+async def play(experiment: Experiment, requests: int, seed: int,
+               progress: Callable[[int], None] = lambda done: None) -> dict[str, object]:
+    """Play it once; the account, with what the scheduler used."""
+    rng = random.Random(seed)
+    shape, traffic = experiment.fleet, experiment.clients
+    work = {"quote": shape.quote_ms, "book": shape.book_ms}
+    behaviour = Behaviour(shape.slots, shape.queue, work, shape.fail)
+    fleet = Fleet(behaviour, seed)
+    # By zone pairs, so that each zone has planners that tell and planners that are found out.
+    tells = [(place // 2 + 1) / max(1, shape.planners // 2) <= shape.tells for place in range(shape.planners)]
+    await fleet.start(interfaces(shape), tells)
+    asked: list[Asked] = []
+    try:
+        async with scheduler(fleet.discovery.port) as running:
+            await asyncio.sleep(SETTLE)
+            begun, before = monotonic(), _used(running)
+            length = requests / traffic.rate
+            script = asyncio.create_task(_script(experiment, fleet, rng, length))
+            await _traffic(running, traffic, requests, rng, asked, progress)
+            took = monotonic() - begun
+            await script
+            cpu = _used(running)
+            memory = _peak(running)
+    finally:
+        await fleet.close()
+    figures = account(asked, fleet.record.runs, fleet.members)
+    times = sorted(one.ended - one.sent for one in asked if one.outcome == "served")
+    figures |= {
+        "experiment": experiment.name, "seed": seed, "seconds": round(took, 2),
+        "scheduler_cpu_us_per_request": round((cpu - before) / max(1, len(asked)) * 1e6, 1),
+        "scheduler_peak_mb": round(memory, 1),
+        "served_ms": {f"p{part}": round(times[min(len(times) - 1, len(times) * part // 100)] * 1000, 1)
+                      for part in (50, 90, 99)} if times else {},
+        "log": [line for line in running.log if not line.startswith("INFO")][:20],
+        "tally": next((line for line in running.log if "ended:" in line), "")}
+    return figures
+
+
+async def _traffic(running: Running, traffic: ClientsFile, requests: int, rng: random.Random,
+                   asked: list[Asked], progress: Callable[[int], None]) -> None:
+    http, gearman = HttpClients(running.http), GearmanClients(running.gearman)
+    tasks: set[asyncio.Task[None]] = set()
+    begun = monotonic()
+    for number in range(requests):
+        wait = begun + number / traffic.rate - monotonic()
+        if wait > 0:
+            await asyncio.sleep(wait)
+        one = draw(rng, f"{number:06d}", traffic.mix, traffic.cancel, traffic.unfit, traffic.book)
+        asked.append(one)
+        clients = http if one.kind.startswith("http") else gearman
+        task = asyncio.create_task(clients.ask(one))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        if number % 100 == 99:
+            progress(number + 1)
+    await asyncio.gather(*tasks)
+    progress(requests)
+    http.close()
+    gearman.close()
+
+
+async def _script(experiment: Experiment, fleet: Fleet, rng: random.Random, length: float) -> None:
+    begun = monotonic()
+    tasks = []
+    for trouble in sorted(experiment.troubles, key=lambda one: one.at):
+        await asyncio.sleep(max(0.0, begun + trouble.at * length - monotonic()))
+        tasks.append(asyncio.create_task(_trouble(trouble, fleet, rng)))
+    await asyncio.gather(*tasks)
+
+
+async def _trouble(trouble: Trouble, fleet: Fleet, rng: random.Random) -> None:
+    member = fleet.members[trouble.planner - 1 if trouble.planner else rng.randrange(len(fleet.members))]
+    while member.lifecycle != "ready":
+        await asyncio.sleep(0.05)  # one trouble of this kind at a time
+    if trouble.do == "roll":
+        await fleet.roll(member, trouble.interface)
+    elif trouble.do == "goaway":
+        await fleet.roll(member, trouble.interface, goaway_only=member.interface == 2)
+    elif trouble.do == "crash":
+        await fleet.crash(member, trouble.seconds)
+    elif trouble.do == "cut":
+        member.gate.cut()
+    else:
+        fleet.behaviour.slow = trouble.factor
+        await asyncio.sleep(trouble.seconds)
+        fleet.behaviour.slow = 1.0
+
+
+def _used(running: Running) -> float:
+    """CPU seconds of the scheduler so far."""
+    stat = Path(f"/proc/{running.process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(stat[11]) + int(stat[12])) / resource_ticks()
+
+
+def resource_ticks() -> float:
+    """Ticks a second in which the kernel counts CPU time."""
+    import os
+    return float(os.sysconf("SC_CLK_TCK"))
+
+
+def _peak(running: Running) -> float:
+    """Most memory of the scheduler so far, MB."""
+    for line in Path(f"/proc/{running.process.pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def stamp() -> str:
+    """When a run was made, for its report."""
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime())
+
+
+def raise_descriptors(wanted: int = 8192) -> None:
+    """Stand-ins, gates and clients share this process's descriptors."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(wanted, hard), hard))
--- /dev/null
+++ b/pipitshed/lab/fleet.py
@@ -0,0 +1,209 @@
+"""A fleet of stand-in planners behind gates, and the stand-in discovery that lists it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import time
+from dataclasses import dataclass, field
+from time import monotonic
+
+from pipitshed.lab.interfaces import GrpcInterface, HttpInterface
+from pipitshed.lab.planner import Behaviour, Planner, Record
+
+ZONES = ("lima-norte", "arequipa")
+HEARTBEAT = 2.0  # s
+
+
+class Gate:
+    """A planner's address, which stays when what stands behind it changes; it can be cut."""
+
+    def __init__(self) -> None:
+        self.port = 0
+        self.behind = 0  # the port; 0: nothing, connections are refused by a close
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def cut(self) -> None:
+        """Break all connections with a reset."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        self.cut()
+
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            if not self.behind:
+                writer.transport.abort()
+                return
+            inner_reader, inner_writer = await asyncio.open_connection("127.0.0.1", self.behind)
+            self._writers.add(inner_writer)
+            await asyncio.gather(self._pump(reader, inner_writer), self._pump(inner_reader, writer))
+            self._writers.discard(inner_writer)
+        except OSError:
+            writer.transport.abort()
+        finally:
+            self._writers.discard(writer)
+
+    @staticmethod
+    async def _pump(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                writer.write(data)
+                await writer.drain()
+        writer.transport.abort() if reader.exception() else writer.close()
+
+
+@dataclass
+class Member:
+    """One planner of the fleet."""
+
+    name: str
+    zone: str
+    interface: int
+    tells: bool  # whether its row tells its interface
+    gate: Gate
+    planner: Planner
+    door: HttpInterface | GrpcInterface
+    started_ms: float = 0.0
+    lifecycle: str = "ready"
+    starts: int = 0
+    drains: list[tuple[float, float]] = field(default_factory=list)  # told of a drain, and of the next start
+
+    def row(self) -> dict[str, object]:
+        row = {"instanceId": self.name, "hostPort": f"127.0.0.1:{self.gate.port}", "zone": self.zone,
+               "cell": 0, "machineType": "standard", "lifecycle": self.lifecycle, "weight": 1.0,
+               "startedAtMs": self.started_ms}
+        return row | ({"interface": self.interface} if self.tells else {})
+
+
+class Discovery:
+    """The list and its watch, as the platform's protocol has them."""
+
+    def __init__(self) -> None:
+        self.port = 0
+        self.generation = 1
+        self.members: list[Member] = []
+        self._watches: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def text(self, reset: bool, members: list[Member]) -> bytes:
+        return json.dumps({"generation": self.generation, "reset": reset,
+                           "instances": [member.row() for member in members]}).encode()
+
+    def tell(self, *members: Member) -> None:
+        """Write a change to all watches."""
+        self.generation += 1
+        text = self.text(False, list(members)) + b"\n"
+        for writer in list(self._watches):
+            writer.write(b"%x\r\n%s\r\n" % (len(text), text))
+
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            text = self.text(True, self.members)
+            if b"watch=1" not in head.split(b"\r\n")[0]:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+                return
+            text += b"\n"
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         b"%x\r\n%s\r\n" % (len(text), text))
+            self._watches.add(writer)
+            while not writer.is_closing():
+                with contextlib.suppress(TimeoutError):
+                    if not await asyncio.wait_for(reader.read(1), HEARTBEAT):
+                        break
+                writer.write(b"1\r\n\n\r\n")
+        self._watches.discard(writer)
+        writer.close()
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._watches):
+            writer.transport.abort()
+
+
+class Fleet:
+    """Planners, their gates and discovery; rolled, cut and slowed by those who experiment."""
+
+    def __init__(self, behaviour: Behaviour, seed: int) -> None:
+        self.behaviour = behaviour
+        self.record = Record()
+        self.discovery = Discovery()
+        self.members: list[Member] = []
+        self._seed = seed
+        self._ends: set[asyncio.Task[None]] = set()
+
+    async def start(self, interfaces: list[int], tells: list[bool]) -> None:
+        for place, (interface, told) in enumerate(zip(interfaces, tells, strict=True)):
+            name, zone = f"planner-{place + 1}", ZONES[place % len(ZONES)]
+            gate = Gate()
+            await gate.start()
+            planner, door = self._make(name, zone, interface)
+            member = Member(name, zone, interface, told, gate, planner, door)
+            self.members.append(member)
+            await self._open(member)
+        self.discovery.members = self.members
+        await self.discovery.start()
+
+    def _make(self, name: str, zone: str, interface: int) -> tuple[Planner, HttpInterface | GrpcInterface]:
+        self._seed += 1
+        planner = Planner(name, zone, interface, self.behaviour, self.record, self._seed)
+        return planner, (HttpInterface if interface == 1 else GrpcInterface)(planner)
+
+    @staticmethod
+    async def _open(member: Member) -> None:
+        await member.door.start()
+        member.gate.behind = member.door.port
+
+    async def roll(self, member: Member, interface: int, goaway_only: bool = False) -> None:
+        """Drain, by discovery's word or by GOAWAY alone, end what runs, and come back with this interface."""
+        told = monotonic()
+        if not goaway_only:
+            member.lifecycle = "draining"
+            self.discovery.tell(member)
+            await asyncio.sleep(1.5)
+        old, member.gate.behind = member.door, 0
+        await old.stop(3.0)
+        await self.come_back(member, interface, told)
+
+    async def crash(self, member: Member, down: float) -> None:
+        """Die at once, be listed as gone a little later, and come back."""
+        member.gate.behind = 0
+        member.gate.cut()
+        await member.door.stop(0.0)
+        await asyncio.sleep(0.3)
+        member.lifecycle = "gone"
+        told = monotonic()
+        self.discovery.tell(member)
+        await asyncio.sleep(down)
+        await self.come_back(member, member.interface, told)
+
+    async def come_back(self, member: Member, interface: int, told: float) -> None:
+        member.interface = interface
+        member.planner, member.door = self._make(member.name, member.zone, interface)
+        member.starts += 1
+        await self._open(member)
+        member.lifecycle, member.started_ms = "ready", time.time() * 1000
+        self.discovery.tell(member)
+        member.drains.append((told, monotonic()))
+
+    async def close(self) -> None:
+        self.discovery.close()
+        for member in self.members:
+            member.gate.close()
+        await asyncio.gather(*(member.door.stop(0.0) for member in self.members))
--- /dev/null
+++ b/pipitshed/lab/interfaces.py
@@ -0,0 +1,171 @@
+"""The two interfaces before a stand-in planner: HTTP/1.1 with JSON lines, and gRPC on grpcio's own server.
+
+grpcio is another implementation of the protocol than the one under `egress`, so that it judges ours.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from datetime import UTC, datetime
+from decimal import Decimal
+from typing import Any
+
+import grpc
+
+from pipitshed.interfaces import planner_pb2 as pb
+from pipitshed.lab.planner import Job, Planner
+
+LANES = {"day": pb.LANE_DAY, "night": pb.LANE_NIGHT}
+
+
+class HttpInterface:
+    """Interface 1."""
+
+    def __init__(self, planner: Planner) -> None:
+        self.planner = planner
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self, grace: float) -> None:
+        """Take no connections any more, and end the open ones after the grace."""
+        if self._server is not None:
+            self._server.close()
+        until = asyncio.get_running_loop().time() + grace
+        while self.planner.held and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.01)
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, ValueError):
+            while await self._one(reader, writer):
+                pass
+        self._writers.discard(writer)
+        writer.close()
+
+    async def _one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        if not head[0].startswith("POST "):
+            return False  # what it can't read, it closes on
+        headers = {name.lower(): value.strip()
+                   for name, _, value in (line.partition(":") for line in head[1:])}
+        text = await reader.readexactly(int(headers.get("content-length", "0")))
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        answering = asyncio.create_task(self._answer(writer, headers, text))
+        gone = asyncio.create_task(reader.read(1))  # a scheduler that gives up closes
+        try:
+            await asyncio.wait({answering, gone}, return_when=asyncio.FIRST_COMPLETED)
+            if not answering.done():
+                return False
+            answering.result()
+            if gone.done():
+                return False
+            gone.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await gone
+            return True
+        finally:
+            for task in (answering, gone):
+                if not task.done():
+                    task.cancel()
+                    with contextlib.suppress(asyncio.CancelledError):
+                        await task
+
+    async def _answer(self, writer: asyncio.StreamWriter, headers: dict[str, str], text: bytes) -> None:
+        number = headers["x-request-id"]
+        body = json.loads(text)
+        key = headers.get("idempotency-key", "")
+        job = Job(headers.get("x-class", "quote"), key, headers.get("x-tenant", ""),
+                  float(headers.get("x-deadline", "0")), body)
+        events = self.planner.work(job)
+        try:
+            async for state, what in events:
+                line: dict[str, Any] = {"id": number, "state": state}
+                if state == "running":
+                    line["share"] = what
+                elif state == "done":
+                    line["result"] = json.dumps(_as_json(what))
+                elif state == "failed":
+                    line["result"] = ": ".join(what)
+                data = json.dumps(line).encode() + b"\n"
+                writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+        finally:
+            await events.aclose()  # type: ignore[attr-defined]
+
+
+def _as_json(result: dict[str, Any]) -> dict[str, Any]:
+    """A result in version 1 of the form."""
+    made = {name: value for name, value in result.items() if name not in ("price_cents", "departs_ms")}
+    moment = datetime.fromtimestamp(result["departs_ms"] / 1000, UTC)
+    made["departs"] = moment.strftime("%Y-%m-%dT%H:%M:%SZ")
+    if "price_cents" in result:
+        made["price"] = float(Decimal(result["price_cents"]) / 100)
+    return made
+
+
+class GrpcInterface:
+    """Interface 2."""
+
+    def __init__(self, planner: Planner) -> None:
+        self.planner = planner
+        self.port = 0
+        self._server = grpc.aio.server(options=[("grpc.http2.min_ping_interval_without_data_ms", 1000),
+                                                ("grpc.so_reuseport", 0)])
+
+    async def start(self) -> None:
+        handler = grpc.unary_stream_rpc_method_handler(
+            self._run, pb.RunRequest.FromString, pb.RunEvent.SerializeToString)
+        self._server.add_generic_rpc_handlers((
+            grpc.method_handlers_generic_handler("pipitshed.planner.v2.Planner", {"Run": handler}),))
+        self.port = self._server.add_insecure_port("127.0.0.1:0")
+        await self._server.start()
+
+    async def stop(self, grace: float) -> None:
+        """GOAWAY, then the end of all streams after the grace."""
+        await self._server.stop(grace or None)
+
+    async def _run(self, request: pb.RunRequest,
+                   context: grpc.aio.ServicerContext[Any, Any]) -> AsyncIterator[pb.RunEvent]:
+        told = dict(context.invocation_metadata() or ())
+        number = str(told["x-request-id"])
+        kind = request.WhichOneof("job") or "quote"
+        if kind != told["x-class"]:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "class and message differ")
+        part = getattr(request, kind)
+        body = {"origin": part.origin, "destination": part.destination, "pallets": part.pallets,
+                "remark": part.remark, "weight_g": part.weight_g}
+        job = Job(kind, str(told.get("idempotency-key", "")), str(told.get("x-tenant", "")),
+                  context.time_remaining() or 0.0, body)
+        events = self.planner.work(job)
+        try:
+            async for state, what in events:
+                yield self._event(number, kind, state, what)
+            if state == "returned":
+                context.set_trailing_metadata((("grpc-retry-pushback-ms", "20"),))
+        finally:
+            await events.aclose()  # type: ignore[attr-defined]
+
+    @staticmethod
+    def _event(number: str, kind: str, state: str, what: Any) -> pb.RunEvent:
+        if state == "started":
+            return pb.RunEvent(id=number, started=pb.Started())
+        if state == "running":
+            return pb.RunEvent(id=number, running=pb.Running(share=what))
+        if state == "failed":
+            return pb.RunEvent(id=number, failed=pb.Failed(code=what[0], text=what[1]))
+        if state == "returned":
+            return pb.RunEvent(id=number, returned=pb.Returned(reason=what))
+        made = dict(what, lane=LANES[what["lane"]])
+        done = pb.Done(offer=pb.Offer(**made)) if kind == "quote" else pb.Done(booking=pb.Booking(**made))
+        return pb.RunEvent(id=number, done=done)
--- /dev/null
+++ b/pipitshed/lab/planner.py
@@ -0,0 +1,128 @@
+"""What a stand-in planner does with a job, whatever interface it speaks, and the record of all that ran."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from time import monotonic
+from typing import Any
+
+DEDUP_WINDOW = 25.0  # s for which the planners of one zone drop a repeat
+
+
+@dataclass(slots=True)
+class Run:
+    """One attempt that came to a planner whole."""
+
+    token: str  # the client's own name for the request, carried in its body
+    job_class: str
+    key: str
+    tenant: str
+    left: float  # s that the scheduler said it would wait
+    planner: str
+    zone: str
+    interface: int
+    came: float
+    ended: float = 0.0  # 0 while it is out
+    how: str = "out"  # done, failed, returned, repeat, cancelled
+
+
+@dataclass(slots=True)
+class Job:
+    """A job as a planner was told it, in words that both interfaces share."""
+
+    job_class: str
+    key: str
+    tenant: str
+    left: float
+    body: dict[str, Any]
+
+
+@dataclass
+class Record:
+    """All runs, and what each zone's planners know of keys."""
+
+    runs: list[Run] = field(default_factory=list)
+    keys: dict[tuple[str, str], tuple[float, asyncio.Future[dict[str, Any]]]] = field(default_factory=dict)
+
+
+@dataclass
+class Behaviour:
+    """How planners work; `slow` may be changed while they run."""
+
+    slots: int = 16
+    queue: int = 64
+    work_ms: dict[str, tuple[float, float]] = field(
+        default_factory=lambda: {"quote": (10.0, 40.0), "book": (30.0, 90.0)})
+    fail: float = 0.0  # part of the jobs that run and come to nothing
+    slow: float = 1.0
+
+
+def plan(job: Job) -> dict[str, Any]:
+    """A job's result, made of nothing but the job, so that a client can tell its own."""
+    body = job.body
+    offer = {"departs_ms": 1_800_000_000_000 + 1000 * int(body["pallets"]), "lane": "night",
+             "truck": f"T-{body.get('remark', '')}", "stops": [body["origin"], body["destination"]]}
+    if job.job_class == "quote":
+        return {"price_cents": 1250 * int(body["pallets"])} | offer
+    return {"booking_ref": f"B-{body.get('remark', '')}"} | offer
+
+
+class Planner:
+    """One planner's work; the interface before it hands jobs in and carries events out."""
+
+    def __init__(self, name: str, zone: str, interface: int, behaviour: Behaviour, record: Record,
+                 seed: int) -> None:
+        self.name, self.zone, self.interface = name, zone, interface
+        self.behaviour, self.record = behaviour, record
+        self.draining = False
+        self.held = 0
+        self._rng = random.Random(seed)
+        self._slots = asyncio.Semaphore(behaviour.slots)
+
+    async def work(self, job: Job) -> AsyncIterator[tuple[str, Any]]:
+        """(state, what goes with it) as the job goes on; the last one ends it."""
+        run = Run(job.body.get("remark", ""), job.job_class, job.key, job.tenant, job.left, self.name,
+                  self.zone, self.interface, monotonic())
+        if self.draining or self.held >= self.behaviour.slots + self.behaviour.queue:
+            run.ended, run.how = run.came, "returned"
+            self.record.runs.append(run)
+            yield "returned", "draining" if self.draining else "full"
+            return
+        self.record.runs.append(run)
+        self.held += 1
+        run.how = "cancelled"  # unless it comes to another end
+        try:
+            place = (self.zone, job.key)
+            known = self.record.keys.get(place) if job.key else None
+            if known is not None and run.came - known[0] < DEDUP_WINDOW and not known[1].cancelled():
+                run.how = "repeat"
+                yield "started", None
+                yield "done", await asyncio.shield(known[1])
+                return
+            result: asyncio.Future[dict[str, Any]] = asyncio.get_running_loop().create_future()
+            if job.key:
+                self.record.keys[place] = (run.came, result)
+            try:
+                async with self._slots:
+                    yield "started", None
+                    least, most = self.behaviour.work_ms[job.job_class]
+                    for part in (0.5, 1.0):
+                        await asyncio.sleep(self._rng.uniform(least, most) / 2000 * self.behaviour.slow)
+                        if part < 1.0:
+                            yield "running", part
+                    if self._rng.random() < self.behaviour.fail:
+                        run.how = "failed"
+                        yield "failed", ("NO_ROUTE", "no truck goes there")
+                        return
+                result.set_result(plan(job))
+                run.how = "done"
+                yield "done", result.result()
+            finally:
+                if not result.done():
+                    result.cancel()
+        finally:
+            run.ended = monotonic()
+            self.held -= 1
--- /dev/null
+++ b/pipitshed/lab/program.py
@@ -0,0 +1,116 @@
+"""The scheduler as a process of its own between stand-ins, with a configuration made for it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import importlib.resources
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pipitshed.lab.fleet import ZONES
+
+TENANTS = {"andes-retail": 0.51, "costa-carga": 0.18, "sur-express": 0.18, "selva-trans": 0.13}
+TEMPLATES = importlib.resources.files("pipitshed.templates")
+START_WITHIN = 20.0  # s
+
+
+def settings(rate: float = 1000.0) -> dict[str, Any]:
+    """The settings of a deployment like the operators', with classes `quote` and `book`."""
+    return {
+        "areas": list(ZONES), "shapes": ["fast", "standard", "slow"], "discovery": "on_request",
+        "familyInfo": {"tellsStart": True, "progress": 2000.0}, "locality": 0, "siblings": 1, "tick": 2.0,
+        "weights": "rough",
+        "permissions": {"cancel": True, "connectTimeout": 250.0, "idleClose": 30000.0, "maxAttempts": 5,
+                        "probes": True, "retryAfter": True},
+        "rules": {"answerSlack": 8.0, "askWithin": 10000.0, "drainGrace": 1500.0, "cold": 1000.0,
+                  "coldFrom": 0.5, "tipMultiple": 3.0, "overloadFor": 1500.0},
+        "services": [
+            {"name": "quote", "deadline": 5000.0, "goalTime": 1000.0, "gain": 5.0, "repeat": "retryable"},
+            {"name": "book", "deadline": 15000.0, "goalTime": 3000.0, "gain": 8.0, "repeat": "dedup",
+             "keyScope": "zone", "window": 25000.0}],
+        "stats": {"fields": [], "source": "off"},
+        "tenants": [{"name": name, "share": share, "allowancePerS": rate * share}
+                    for name, share in TENANTS.items()]}
+
+
+def configuration(listen: str, discovery: str) -> dict[str, Any]:
+    """LB_CONFIG's content."""
+    return {"name": "lab", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings()}
+
+
+def front_text(gearman: str) -> str:
+    """The front file: translation on, and Gearman where an address is given."""
+    listen = f'listen = ["{gearman}"]' if gearman else "listen = []"
+    return f"""[gearman]
+{listen}
+
+[gearman.functions]            # the oldest depots speak version 0, the others version 1
+plan_quote = {{ class = "quote", tenant = "selva-trans", form = 0 }}
+book_pallet = {{ class = "book", tenant = "selva-trans", form = 0 }}
+plan_quote_v1 = {{ class = "quote", tenant = "sur-express", form = 1 }}
+book_pallet_v1 = {{ class = "book", tenant = "sur-express", form = 1 }}
+
+[translation]
+file = "translation.toml"
+"""
+
+
+@dataclass
+class Running:
+    """The process and where it listens."""
+
+    process: asyncio.subprocess.Process
+    http: int
+    gearman: int
+    log: list[str]
+
+
+@contextlib.asynccontextmanager
+async def scheduler(discovery_port: int, http: str = "127.0.0.1:0", gearman: str = "127.0.0.1:0",
+                    translate: bool = True) -> AsyncIterator[Running]:
+    """One scheduler; it ends with the block."""
+    with tempfile.TemporaryDirectory(prefix="pipitshed-lab-") as folder:
+        path = Path(folder)
+        (path / "config.json").write_text(json.dumps(configuration(http, f"127.0.0.1:{discovery_port}")))
+        text = front_text(gearman)
+        (path / "front.toml").write_text(text if translate else text.partition("[translation]")[0].replace(
+            ", form = 0", "").replace(", form = 1", ""))
+        (path / "translation.toml").write_text((TEMPLATES / "translation.toml").read_text())
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "pipitshed", "serve", "--front", str(path / "front.toml"),
+            env=os.environ | {"LB_CONFIG": str(path / "config.json")}, stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT, start_new_session=True)
+        running = Running(process, 0, 0, [])
+        assert process.stdout is not None
+        try:
+            ports = []
+            for _ in range(2 if gearman else 1):
+                line = (await asyncio.wait_for(process.stdout.readline(), START_WITHIN)).decode()
+                if "listening" not in line:
+                    raise RuntimeError(f"the scheduler did not start: {line.strip()}")
+                ports.append(int(line.rpartition(":")[2]))
+            running.http, running.gearman = ports[0], ports[1] if gearman else 0
+            reading = asyncio.create_task(_read(process.stdout, running.log))
+            yield running
+            if process.returncode is None:
+                process.send_signal(signal.SIGTERM)
+            await process.wait()
+            await reading
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+
+async def _read(stream: asyncio.StreamReader, log: list[str]) -> None:
+    async for line in stream:
+        log.append(line.decode().rstrip())
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -18,7 +18,7 @@
 from pipitshed.ingress.http import HttpFront, Reading
 from pipitshed.ingress.listener import Listener
 from pipitshed.routes.discovery import SOURCE as DISCOVERY
-from pipitshed.routes.discovery import Discovery, Listing, Names
+from pipitshed.routes.discovery import Discovery, Listing, Members, Names
 from pipitshed.wire.http import BODY_LIMIT
 
 if TYPE_CHECKING:
@@ -57,8 +57,8 @@
                 config.discovery, Listing(DISCOVERY, zones, kinds, self.carrier, carriers), self.core.routes,
                 loop)
             self.core.ask_list = self.discovery.ask
-            if config.known is not None:
-                self.discovery.known(config.known)
+            # Guards against a start with no list that is known: the decisions ask once they are told one.
+            self.discovery.known(config.known or Members(0, []))
         if front.dns_server is not None:
             # Imported where it is asked for: on the platform its library is a third of the time to start.
             from pipitshed.routes.dns_sd import SOURCE, DnsSd
--- /dev/null
+++ b/pipitshed/templates/__init__.py
@@ -0,0 +1,1 @@
+"""Files that `init` writes and the laboratory uses."""
