Tests for translation, interfaces and gRPC hops; probes and closed prefaces mended

Need: each hard case of the translator wants a test that fails without its guard.

Found and mended: a probe of a planner without a connection said it was not there, so that jobs went back to the one that had just broken; h2's buffer waits for up to 16 MB before it judges a frame's length, so that an HTTP/1.1 answer was never known for one; a planner that closes on the preface was not taken for one of interface 1; refusals named fields of the newer form, which the old client does not know.

--- a/pipitshed/egress/grpc.py
+++ b/pipitshed/egress/grpc.py
@@ -38,6 +38,7 @@
 WINDOW = 2 * MESSAGE_LIMIT  # of a stream and of a connection: what may stand here half received
 HEADS = 16 * 1024  # bytes of a header list
 LINGER = 0.25  # s that a stream may stand open behind the event that ends its job
+PROBE_TIMEOUT = 0.5  # s
 PING_WAIT = 2.5  # s for the answer to a PING
 FLOOD = 256  # resets, pings and settings a second from which a planner's connection is closed
 _FIXED: list[Header] = [
@@ -109,6 +110,7 @@
         self._idle: asyncio.TimerHandle | None = None
         self._alive: asyncio.TimerHandle | None = None
         self._pinged = False
+        self._probes: dict[bytes, float] = {}  # by what the PING carries: when they were asked for
         self._silence = carrier.keepalive
         self._heard_at = 0.0
         self._control = 0  # frames of the kinds that cost us and bring nothing, this second
@@ -137,6 +139,9 @@
         self._unflushed.clear()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if not self.up and not self.over:
+            # It was there, and closed on the preface, as planners of interface 1 do.
+            self.carrier.on_wrong_interface(self.target)
         self.end()
 
     def abort(self) -> None:
@@ -161,6 +166,8 @@
             self._report(stream, stream.verdict or (Outcome.RESET if sent else Outcome.CONNECT_FAILED))
         for hop in queue:
             self.carrier.core.hop_ended(hop, Outcome.CONNECT_FAILED)
+        for sign in list(self._probes):
+            self._probed(sign, Outcome.CONNECT_FAILED)
         for _ in range(self.left):
             self.carrier.core.link_lost(self.target)
 
@@ -322,6 +329,8 @@
             for one in list(self.streams.values()):
                 self._pump(one)
             self._open_streams()
+            for sign in self._probes:
+                self._http2.ping(sign)
             self._rest()
         elif isinstance(event, h2.events.WindowUpdated):
             for one in [stream] if stream is not None else list(self.streams.values()) if not number else []:
@@ -331,7 +340,10 @@
         elif isinstance(event, h2.events.PingReceived):
             self._count_control()
         elif isinstance(event, h2.events.PingAckReceived):
-            self._pinged = False
+            if event.ping_data in self._probes:
+                self._probed(event.ping_data, Outcome.OK)
+            else:
+                self._pinged = False
 
     def _count_control(self) -> None:
         """Guards against floods of frames that cost us work and bring nothing."""
@@ -452,6 +464,23 @@
         for hop in queue:
             self.carrier.core.hop_ended(hop, Outcome.CONNECT_FAILED)
 
+    # ---- probes: a PING tells that the planner is there, and nothing of its load
+
+    def probe(self) -> None:
+        self.carrier.probes += 1
+        sign = b"%08x" % (self.carrier.probes & 0xFFFF_FFFF)
+        self._probes[sign] = self.carrier.loop.time()
+        self.carrier.loop.call_later(PROBE_TIMEOUT, self._probed, sign, Outcome.TIMEOUT)
+        if self.up:
+            self._http2.ping(sign)
+            self._flush_soon()
+
+    def _probed(self, sign: bytes, outcome: Outcome) -> None:
+        begun = self._probes.pop(sign, None)
+        if begun is not None:
+            self.carrier.core.probe_ended(self.target, outcome, (self.carrier.loop.time() - begun) * 1000)
+            self._rest()
+
     # ---- between requests
 
     def _rest(self) -> None:
@@ -460,7 +489,7 @@
             return
         if self.queue and self.up:
             self._open_streams()
-        if self.streams or self.queue:
+        if self.streams or self.queue or self._probes:
             return
         if self._alive is not None:
             self._alive.cancel()
@@ -502,19 +531,23 @@
         limits = core.settings.limits
         self.connect_timeout = limits.connect_timeout / 1000
         self.idle_for = limits.idle_close / 1000 * (1 - IDLE_SPARE)
+        self.probes = 0
         self._connections: dict[Address, _Connection] = {}  # those that take new streams
         self._all: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def carry(self, hop: Hop) -> None:
-        connection = self._connections.get(hop.target.address)
+        self._connection(hop.target).add(hop)
+
+    def _connection(self, target: EgressTarget) -> _Connection:
+        """The one that takes new streams; it may still be coming up."""
+        connection = self._connections.get(target.address)
         if connection is None:
             self.core.tally["connections"] += 1
-            connection = _Connection(self, hop.target)
-            self._connections[hop.target.address] = connection
+            connection = self._connections[target.address] = _Connection(self, target)
             self._all.add(connection)
             self._start(self._connect(connection))
-        connection.add(hop)
+        return connection
 
     def drop(self, hop: Hop) -> bool:
         link = hop.link
@@ -525,9 +558,8 @@
         return False
 
     def probe(self, target: EgressTarget) -> None:
-        """No load is told by this interface: that a connection stands is all there is."""
-        up = target.address in self._connections
-        self.core.probe_ended(target, Outcome.OK if up else Outcome.CONNECT_FAILED, 0.0)
+        """Whether the planner is there: no load is told by this interface."""
+        self._connection(target).probe()
 
     def close_idle(self, target: EgressTarget) -> None:
         connection = self._connections.get(target.address)
--- a/pipitshed/egress/sounding.py
+++ b/pipitshed/egress/sounding.py
@@ -10,12 +10,11 @@
 from collections.abc import Callable
 from typing import cast
 
-import h2.config
-import h2.connection
 import h2.events
 import h2.exceptions
 
 from pipitshed.decisions.interface import WorkerId
+from pipitshed.wire.grpc import Http2
 
 CONNECT_TIMEOUT = 1.0  # s
 ANSWER_TIMEOUT = 1.0  # s
@@ -30,7 +29,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.answer: asyncio.Future[int] = loop.create_future()
         self._loop = loop
-        self._http2 = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True))
+        self._http2 = Http2()
         self._settled: asyncio.TimerHandle | None = None
         self.transport: asyncio.Transport | None = None
 
--- a/pipitshed/lab/interfaces.py
+++ b/pipitshed/lab/interfaces.py
@@ -75,10 +75,9 @@
             return True
         finally:
             for task in (answering, gone):
-                if not task.done():
-                    task.cancel()
-                    with contextlib.suppress(asyncio.CancelledError):
-                        await task
+                task.cancel()
+                with contextlib.suppress(asyncio.CancelledError, ConnectionError):
+                    await task
 
     async def _answer(self, writer: asyncio.StreamWriter, headers: dict[str, str], text: bytes) -> None:
         number = headers["x-request-id"]
--- a/pipitshed/translation/steps.py
+++ b/pipitshed/translation/steps.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator, Mapping, Sequence
 from decimal import Decimal, Inexact
 from typing import Any
@@ -41,6 +42,7 @@
     result: Side = Side()
 
 
+_PLACE = re.compile(r"([^.\[\]]+)(\[\d+\])?(?:\.(.+))?")
 _NUMBERS = ("integer", "decimal")
 
 
@@ -217,6 +219,21 @@
         """The lower version's record; Unfit where it can't be expressed there."""
         return _down(self._movers, record)
 
+    def lower_name(self, field: str) -> str:
+        """The lower version's name of a field, such as `goods[2].sku`; the same where it has none."""
+        return _lower_name(self._movers, field)
+
+
+def _lower_name(movers: Sequence[_Mover], field: str) -> str:
+    found = _PLACE.fullmatch(field)
+    if found is None:
+        return field
+    name, index, inner = found.groups()
+    mover = next((one for one in movers if one.name == name and one.source), None)
+    if mover is None:
+        return field
+    return mover.source + (index or "") + (f".{_lower_name(mover.inner, inner)}" if inner else "")
+
 
 class Chain:
     """Steps one after the other, from a lower version to an upper one."""
@@ -226,10 +243,21 @@
         self._back = tuple(reversed(self._steps))
 
     def up(self, record: Record) -> Record:
-        for step in self._steps:
-            record = step.up(record)
+        for place, step in enumerate(self._steps):
+            try:
+                record = step.up(record)
+            except Unfit as unfit:
+                raise self.named_below(unfit, place) from None
         return record
 
+    def named_below(self, unfit: Unfit, steps: int | None = None) -> Unfit:
+        """A refusal by the name that the field has below the first so many steps: who is refused knows no
+        other."""
+        field = unfit.field
+        for step in reversed(self._steps[:steps]):
+            field = step.lower_name(field)
+        return Unfit(field, unfit.value, unfit.reason)
+
     def down(self, record: Record) -> Record:
         for step in self._back:
             record = step.down(record)
--- a/pipitshed/translation/translator.py
+++ b/pipitshed/translation/translator.py
@@ -95,12 +95,20 @@
                     continue
                 if record is None:
                     record = self._request(form, job_class).decode(body)
-                moved = self._move(record, form, target, job_class, True)
-                prepared.bodies[interface] = self._request(target, job_class).encode(moved)
+                prepared.bodies[interface] = self._told(record, form, target, job_class)
             except Unfit as unfit:
                 prepared.unfit[interface] = unfit
         return prepared
 
+    def _told(self, record: Record, form: int, target: int, job_class: str) -> bytes:
+        """A request's record in another form; a refusal names the field as its own form does."""
+        moved = self._move(record, form, target, job_class, True)
+        try:
+            return self._request(target, job_class).encode(moved)
+        except Unfit as unfit:
+            chain = self._chains.get((form, target, job_class, True))
+            raise chain.named_below(unfit) if chain is not None else unfit from None
+
     def _request(self, form: int, job_class: str) -> Codec:
         codec = self._requests.get((form, job_class))
         if codec is None:
@@ -115,6 +123,17 @@
             raise Unfit("class", job_class, f"no steps lead from version {form} to {target} for this class")
         return chain.up(record) if form < target else chain.down(record)
 
+    def convert(self, source: int, target: int, job_class: str, data: bytes,
+                request: bool = True) -> bytes:
+        """One message from a version into another; Unfit where it can't be."""
+        if request and (target, job_class) in self._requests:
+            return self._told(self._request(source, job_class).decode(data), source, target, job_class)
+        codecs = self._requests if request else self._results
+        held, wanted = codecs.get((source, job_class)), codecs.get((target, job_class))
+        if held is None or wanted is None:
+            raise Unfit("class", job_class, "one of the versions does not know this class")
+        return wanted.encode(self._move(held.decode(data), source, target, job_class, request))
+
     # ---- results
 
     def result(self, form: int, job_class: str, interface: int, data: bytes) -> bytes:
--- a/pipitshed/wire/grpc.py
+++ b/pipitshed/wire/grpc.py
@@ -10,12 +10,14 @@
 import h2.connection
 import h2.errors
 import h2.events
+from h2.frame_buffer import FrameBuffer
 from hyperframe.frame import Frame, GoAwayFrame
 
 from pipitshed.wire.http import BODY_LIMIT
 
 PREFIX = struct.Struct(">BI")  # compressed or not, and the message's length
 MESSAGE_LIMIT = 4 * BODY_LIMIT  # bytes of one message
+_FRAME_HEAD = 9  # bytes
 LONGEST_TIMEOUT = 99_999_999  # of any unit: eight digits
 
 
@@ -62,6 +64,16 @@
     return b"%dm" % min(LONGEST_TIMEOUT, micros // 1000)
 
 
+class _Frames(FrameBuffer):
+    """Frames, whose length is judged by their heads: h2's own buffer waits for as many bytes as a head names,
+    16 MB at most, before it finds them too many; so an HTTP/1.1 answer would never be known for none."""
+
+    def __next__(self) -> Frame:
+        if len(self._data) >= _FRAME_HEAD:
+            self._validate_frame_length(int.from_bytes(self._data[:3], "big"))
+        return super().__next__()
+
+
 class Http2(h2.connection.H2Connection):
     """A client's connection that outlives GOAWAY.
 
@@ -73,6 +85,7 @@
         super().__init__(h2.config.H2Configuration(
             client_side=True, header_encoding=None, validate_outbound_headers=False,
             normalize_outbound_headers=False))
+        self.incoming_buffer = _Frames()
 
     def _receive_goaway_frame(self, frame: GoAwayFrame) -> tuple[list[Frame], list[h2.events.Event]]:
         event = h2.events.ConnectionTerminated()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -116,7 +116,9 @@
 
     async def serve(self, reader: Reader, writer: Writer) -> None:
         while True:
-            _, headers, body = await _message(reader)
+            line, headers, body = await _message(reader)
+            if not line.startswith("POST"):
+                return  # what a planner can't read, it closes on
             run = Run(headers, body, reader, writer)
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             self.runs.append(run)
--- /dev/null
+++ b/tests/test_fuzz_frames.py
@@ -0,0 +1,139 @@
+"""Whatever bytes a planner sends: no exception reaches the loop, each hop has one outcome, memory is bounded.
+
+`PIPITSHED_FUZZ=100000 pytest tests/test_fuzz_frames.py` tries as many cases; CI tries a few hundred.
+"""
+
+import asyncio
+import os
+from typing import Any
+
+import hpack
+from grpc_peer import QUOTE, Caller, bench
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from hyperframe.frame import (
+    ContinuationFrame, DataFrame, Frame, GoAwayFrame, HeadersFrame, PingFrame, PushPromiseFrame,
+    RstStreamFrame, SettingsFrame, WindowUpdateFrame)
+
+from pipitshed.decisions.interface import Send
+from pipitshed.egress.grpc import UNREAD_LIMIT, _Connection
+from pipitshed.exchange.parties import EgressTarget
+from pipitshed.interfaces import planner_pb2 as pb
+from pipitshed.wire.grpc import MESSAGE_LIMIT, frame
+
+CASES = int(os.environ.get("PIPITSHED_FUZZ", "300"))
+
+
+class Transport:
+    """A transport that keeps nothing and never takes long."""
+
+    def __init__(self) -> None:
+        self.written = 0
+        self.closed = False
+
+    def write(self, data: bytes) -> None:
+        self.written += len(data)
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        pass
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def abort(self) -> None:
+        self.closed = True
+
+    close = abort
+
+
+def encoded(*headers: tuple[str, str]) -> bytes:
+    return hpack.Encoder().encode(headers)
+
+
+events = st.one_of(
+    st.builds(lambda share: pb.RunEvent(id="r1", running=pb.Running(share=share)), st.floats()),
+    st.just(pb.RunEvent(id="r1", started=pb.Started())), st.just(pb.RunEvent(id="r2", done=pb.Done())),
+    st.just(pb.RunEvent(id="r1", done=pb.Done(offer=pb.Offer(price_cents=1, departs_ms=0)))),
+    st.just(pb.RunEvent(id="r1", returned=pb.Returned())), st.just(pb.RunEvent(id="r1"))).map(
+        lambda event: frame(event.SerializeToString()))
+payloads = st.one_of(events, st.binary(max_size=40), st.just(b"\x01\x00\x00\x00\x02hi"),
+                     st.just((MESSAGE_LIMIT + 1).to_bytes(5, "big")))
+heads = st.sampled_from([
+    encoded((":status", "200"), ("content-type", "application/grpc")), encoded((":status", "503")),
+    encoded((":status", "200"), ("content-type", "application/grpc"), ("grpc-status", "14")),
+    encoded((":status", "200"), ("content-type", "application/grpc"), ("grpc-status", "x"),
+            ("grpc-retry-pushback-ms", "never")),
+    encoded(("grpc-status", "0")), encoded(("grpc-status", "12")), b"\xff\xff\xff"])
+streams = st.sampled_from([0, 1, 1, 1, 3, 2, 5])
+
+
+def made(kind: type[Frame], number: int, **fields: Any) -> bytes:
+    flags = fields.pop("flags", ())
+    try:
+        one = kind(number, flags=flags, **fields)
+        return one.serialize()
+    except Exception:
+        return b""
+
+
+frames = st.one_of(
+    st.builds(lambda number, data, flags: made(DataFrame, number, data=data, flags=flags), streams, payloads,
+              st.sampled_from([["END_STREAM"], []])),
+    st.builds(lambda number, data, flags: made(HeadersFrame, number, data=data, flags=flags), streams, heads,
+              st.sampled_from([["END_HEADERS"], ["END_HEADERS", "END_STREAM"], []])),
+    st.builds(lambda number, data: made(ContinuationFrame, number, data=data, flags=["END_HEADERS"]),
+              streams, heads),
+    st.builds(lambda number, code: made(RstStreamFrame, number, error_code=code), streams,
+              st.integers(0, 14)),
+    st.builds(lambda last, code: made(GoAwayFrame, 0, last_stream_id=last, error_code=code),
+              st.sampled_from([0, 1, 3, 2**31 - 1]), st.integers(0, 14)),
+    st.builds(lambda which, value: made(SettingsFrame, 0, settings={which: value}), st.integers(1, 6),
+              st.sampled_from([0, 1, 100, 2**14, 2**31 - 1, 2**32 - 1])),
+    st.just(made(SettingsFrame, 0, flags=["ACK"])), st.just(made(PingFrame, 0, opaque_data=b"12345678")),
+    st.builds(lambda number, size: made(WindowUpdateFrame, number, window_increment=size), streams,
+              st.sampled_from([1, 2**31 - 1])),
+    st.just(made(PushPromiseFrame, 1, promised_stream_id=2, data=b"\x88", flags=["END_HEADERS"])),
+    st.binary(max_size=30), st.just(b"HTTP/1.1 400 Bad Request\r\n\r\n"))
+
+
+@settings(max_examples=CASES, deadline=None, suppress_health_check=list(HealthCheck))
+@given(st.lists(frames, max_size=12), st.booleans(), st.integers(1, 64), st.integers(0, 12))
+def test_any_frames_leave_one_outcome_for_each_hop(
+        parts: list[bytes], greets: bool, piece: int, drop: int) -> None:
+    async def run() -> None:
+        faults: list[Any] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: faults.append(context))
+        async with bench() as world:
+            connection = _Connection(world.carrier, EgressTarget(b"p1", world.carrier, ("127.0.0.1", 1), 2))
+            world.carrier._connections["127.0.0.1", 1] = connection
+            world.carrier._all.add(connection)
+            world.core.routes._targets[b"p1"] = connection.target
+            transport = Transport()
+            connection.connection_made(transport)  # type: ignore[arg-type]
+            callers = [Caller(), Caller()]
+            for caller in callers:
+                caller.exchange = world.core.take(world.request("quote", QUOTE, form=None), caller)
+                world.core._send(Send(caller.exchange.number, b"p1"))
+            data = (made(SettingsFrame, 0) if greets else b"") + b"".join(parts)
+            for place in range(0, len(data), piece):
+                if connection.over or transport.closed:
+                    break
+                connection.data_received(data[place:place + piece])
+                if place // piece == drop:
+                    world.leave(callers[0])
+            await asyncio.sleep(0)
+            assert len(connection._http2.incoming_buffer._data) < 2**14 + 64
+            assert transport.written < UNREAD_LIMIT
+            connection.connection_lost(None)
+            await asyncio.sleep(0)
+            for caller in callers:
+                assert all(hop.over for hop in caller.exchange.hops) and len(caller.told) <= 1
+            assert not connection.streams and not connection.queue and not faults, faults
+            for caller in callers:
+                world.leave(caller)
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_translation.py
@@ -0,0 +1,200 @@
+"""Forms and steps: what can be expressed comes back the same, all else is refused by its field, and a file
+that would lose anything is turned down by its line."""
+
+import json
+from datetime import UTC, datetime, timedelta
+from decimal import Decimal
+from typing import Any
+from urllib.parse import parse_qsl, urlencode
+
+import pytest
+from grpc_peer import FORMS
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pipitshed.exchange.parties import Request
+from pipitshed.interfaces import planner_pb2 as pb
+from pipitshed.translation.file import TranslationError, read
+from pipitshed.translation.translator import Translator
+from pipitshed.translation.values import Unfit
+
+FILE = read(FORMS)
+TRANSLATOR = Translator(FILE, ["quote", "book"])
+
+places = st.text(st.characters(codec="utf-8", exclude_categories=["Cs"]), max_size=32)
+kilos = st.decimals(0, 10**9, places=3).map(lambda value: value.normalize())
+moments = st.datetimes(datetime(1970, 1, 1), datetime(9999, 12, 31)).map(
+    lambda value: value.replace(microsecond=value.microsecond // 1000 * 1000, tzinfo=UTC))
+goods = st.lists(st.fixed_dictionaries({"sku": places, "count": st.integers(1, 2**32 - 1)}), min_size=1,
+                 max_size=4)
+jobs = st.fixed_dictionaries(
+    {"origin": places, "destination": places, "pallets": st.integers(1, 2**32 - 1)},
+    optional={"weight_kg": kilos, "cutoff": moments, "fragile": st.booleans(), "remark": places,
+              "goods": goods})
+oldest = st.fixed_dictionaries(
+    {"from": places, "to": places, "plts": st.integers(1, 999)},
+    optional={"kg": st.decimals(0, 10**6, places=1), "by": st.integers(0, 253402300799),
+              "frag": st.sampled_from([0, 1]), "rem": places})
+
+
+def as_json(job: dict[str, Any]) -> bytes:
+    told = dict(job)
+    if "cutoff" in told:
+        told["cutoff"] = told["cutoff"].isoformat().replace("+00:00", "Z")
+    weight = told.pop("weight_kg", None)
+    text = json.dumps(told, ensure_ascii=False)
+    if weight is not None:  # exactly, and in plain digits
+        text = text[:-1] + f', "weight_kg": {weight:f}}}'
+    return text.encode()
+
+
+@given(jobs, st.sampled_from(["quote", "book"]))
+def test_version_1_comes_back_the_same_after_up_and_down(job: dict[str, Any], job_class: str) -> None:
+    up = TRANSLATOR.convert(1, 2, job_class, as_json(job))
+    told = getattr(pb.RunRequest.FromString(up), job_class)
+    assert (told.origin, told.pallets) == (job["origin"], job["pallets"])
+    assert told.weight_g == job.get("weight_kg", 0) * 1000
+    back = json.loads(TRANSLATOR.convert(2, 1, job_class, up), parse_float=Decimal, parse_int=int)
+    if "cutoff" in back:
+        back["cutoff"] = datetime.fromisoformat(back["cutoff"])
+    assert back == job
+
+
+@given(oldest, st.sampled_from(["quote", "book"]))
+def test_version_0_comes_back_the_same_over_two_steps(job: dict[str, Any], job_class: str) -> None:
+    text = urlencode({name: f"{value:f}" if isinstance(value, Decimal) else value
+                      for name, value in job.items()})
+    up = TRANSLATOR.convert(0, 2, job_class, text.encode())
+    back = dict(parse_qsl(TRANSLATOR.convert(2, 0, job_class, up).decode(), keep_blank_values=True))
+    assert {name: Decimal(value) if name == "kg" else value for name, value in back.items()} == {
+        name: value if name == "kg" else str(value) for name, value in job.items()}
+
+
+@settings(max_examples=300)
+@given(jobs, st.sampled_from([
+    ("pallets", 0), ("pallets", 1.5), ("pallets", "4"), ("pallets", True), ("pallets", 2**32),
+    ("weight_kg", -1), ("weight_kg", 0.0001), ("weight_kg", "1"), ("weight_kg", 1e300),
+    ("cutoff", "2026-02-30T00:00:00Z"), ("cutoff", "2026-02-03T00:00:00.0001Z"), ("cutoff", "yesterday"),
+    ("cutoff", 5), ("fragile", 1), ("remark", None), ("remark", "\ud800"), ("hazard", "acid"),
+    ("goods", {}), ("goods", [[]]),
+    ("goods", [{"sku": "a"}]),
+    ("origin", "x" * 33), ("dock", "A1"), ("colour", "red")]))
+def test_what_cannot_be_expressed_is_refused_by_its_field(
+        job: dict[str, Any], wrong: tuple[str, Any]) -> None:
+    name, value = wrong
+    told = json.loads(as_json(job)) | {name: value}
+    with pytest.raises(Unfit) as caught:
+        TRANSLATOR.convert(1, 2, "quote", json.dumps(told).encode())
+    assert caught.value.field.partition("[")[0] == name or caught.value.reason == "is not UTF-8"
+    assert caught.value.reason and len(caught.value.value) <= 65
+
+
+@given(st.binary(max_size=200), st.sampled_from([0, 1, 2]), st.sampled_from([0, 1, 2]), st.booleans())
+def test_any_bytes_are_translated_or_refused(data: bytes, source: int, target: int, request: bool) -> None:
+    try:
+        TRANSLATOR.convert(source, target, "quote", data, request)
+    except Unfit as unfit:
+        assert unfit.field and unfit.reason
+
+
+@given(st.text(max_size=20), st.text(max_size=20), st.text(max_size=20))
+def test_the_envelope_is_carried_whole_or_refused(number: str, key: str, tenant: str) -> None:
+    """No character of an id, a key or a tenant is left out, so no two keys become one."""
+    prepared = TRANSLATOR.prepare(Request(number, 0, 1000.0, 0, b"{}", key, tenant_name=tenant, form=1))
+    for name, value in [("id", number), ("key", key), ("tenant", tenant)]:
+        carried = all(" " <= char <= "~" for char in value) and value == value.strip()
+        if not carried:
+            assert not prepared.bodies and prepared.unfit[1].field in ("id", "key", "tenant"), name
+
+
+def test_unknown_protobuf_fields_and_choices_are_not_dropped() -> None:
+    offer = pb.Offer(price_cents=1, departs_ms=0)
+    known = pb.Done(offer=offer).SerializeToString()
+    assert TRANSLATOR.result(1, "quote", 2, known) == b'{"price":0.01,"departs":"1970-01-01T00:00:00Z"}'
+    inner = offer.SerializeToString() + b"\x98\x06\x07"  # a field 99
+    for data, field in [(known + b"\x98\x06\x07", "the message"),
+                        (b"\x0a" + bytes([len(inner)]) + inner, "the message"),
+                        (known + b"\x0a\x02\x18\x09", "lane"),
+                        (pb.Done(booking=pb.Booking()).SerializeToString(), "offer"),
+                        (pb.Done(offer=pb.Offer(departs_ms=0)).SerializeToString(), "price_cents"),
+                        (b"\xff\xff", "the message")]:
+        with pytest.raises(Unfit) as caught:
+            TRANSLATOR.result(1, "quote", 2, data)
+        assert caught.value.field == field, data
+
+
+def test_times_keep_their_zone_and_are_never_rounded() -> None:
+    body = b'{"origin":"a","destination":"b","pallets":1,"cutoff":"2026-12-01T10:00:00.250-05:00"}'
+    told = pb.RunRequest.FromString(TRANSLATOR.convert(1, 2, "quote", body)).quote.cutoff_ms
+    assert timedelta(milliseconds=told) + datetime(1970, 1, 1) == datetime(2026, 12, 1, 15, 0, 0, 250_000)
+
+
+@pytest.mark.parametrize(("old", "new", "what"), [
+    ('key = "field:key"\n', "", "no place for the key"),
+    ('tenant = "header:x-tenant"\n', "", "no place for the tenant"),
+    ('deadline = "metadata:grpc-timeout"', 'deadline = "metadata:x-wait"', "grpc-timeout"),
+    ('dock = { default = "any" }\n', "", "dock"),
+    ('dock = { default = "any" }', "dock = { default = 3 }", "3 is no text"),
+    ('dock = { default = "any" }', "dock = { }", "comes from nowhere"),
+    ('hazard = "planners of interface 2 take no free text on hazards"\n', "", "would be dropped"),
+    ('weight_g = { from = "weight_kg"', 'weight_g = { from = "weight"', "'weight'"),
+    ('weight_g = { from = "weight_kg", scale = 1000 }', 'weight_g = { from = "remark" }', "already"),
+    ('{ true = "fragile", false = "normal" }', '{ true = "fragile", false = "fragile" }', "told apart"),
+    ('{ true = "fragile", false = "normal" }', '{ true = "fragile", maybe = "normal" }', "maybe"),
+    ('{ from = "night", values = { true = "night", false = "day" } }', '{ from = "night" }', "lane"),
+    ('count = { from = "count" } } }', 'count = { cannot = "none" } } }', "count"),
+    ("quote_ref = { from = \"quote\" }", 'key = { from = "quote" }', "key"),
+    ('price_cents = { type = "integer"', 'price_cents = { type = "text"', "whole number"),
+    ('request-message = "RunRequest.book"', 'request-message = "RunRequest.buy"', "RunRequest.buy"),
+    ('choices = ["normal", "fragile", "cold"]', 'choices = ["normal", "hot"]', "hot"),
+    ("from = 1\nto = 2", "from = 0\nto = 2", "neighbouring"),
+    ("2 = 2 ", "2 = 1 ", "protobuf"),
+    ("gearman = 1", "gearman = 7", "no form 7"),
+    ("least = 1, most = 999", "least = 1, moist = 999", "moist"),
+    ("[interfaces]", "[interfaces", "line"),
+])
+def test_a_file_that_would_lose_anything_is_turned_down_by_its_line(old: str, new: str, what: str) -> None:
+    assert old in FORMS
+    with pytest.raises(TranslationError) as caught:
+        read(FORMS.replace(old, new, 1))
+    assert what in str(caught.value), str(caught.value)
+
+
+def test_the_line_is_the_one_at_fault() -> None:
+    text = FORMS.replace('dock = { default = "any" }', "dock = { default = 3 }")
+    line = text.splitlines().index("dock = { default = 3 }") + 1
+    with pytest.raises(TranslationError) as caught:
+        read(text)
+    assert str(caught.value).startswith(f"line {line}: step 1 to 2: classes.book.request.rules.dock")
+
+
+def test_a_step_may_not_touch_the_envelope() -> None:
+    text = FORMS.replace('[steps.classes.book.request.cannot]\nhazard',
+                         '[steps.classes.book.request.cannot]\nidempotency-key = "none"\nhazard', 1)
+    with pytest.raises(TranslationError, match="belongs to the envelope"):
+        read(text)
+    line = text.splitlines().index('idempotency-key = "none"') + 1
+    with pytest.raises(TranslationError, match=f"line {line}:"):
+        read(text)
+
+
+def test_a_field_that_only_the_new_side_requires_is_refused_by_name_where_no_default_is_stated() -> None:
+    forms = read(FORMS.replace('dock = { default = "any" }',
+                               'dock = { cannot = "old terminals know no docks" }'))
+    with pytest.raises(Unfit) as caught:
+        Translator(forms, ["quote", "book"]).convert(1, 2, "book", as_json(
+            {"origin": "a", "destination": "b", "pallets": 1}))
+    assert (caught.value.field, caught.value.reason) == ("dock", "old terminals know no docks")
+
+
+def test_a_refusal_names_the_field_as_its_client_does() -> None:
+    """Over two steps: what the newest form can't hold is told by the oldest one's name."""
+    old, new = 'weight_g = { type = "integer" }', 'weight_g = { type = "integer", most = 5 }'
+    forms = read(FORMS.replace(old, new))
+    with pytest.raises(Unfit) as caught:
+        Translator(forms, ["quote", "book"]).convert(0, 2, "quote", b"from=a&to=b&plts=1&kg=2.5")
+    assert (caught.value.field, caught.value.value) == ("kg", "2500")
+    body = b'{"origin":"a","destination":"b","pallets":1,"goods":[{"sku":"a","count":4294967296}]}'
+    with pytest.raises(Unfit) as caught:
+        TRANSLATOR.convert(1, 2, "quote", body)
+    assert caught.value.field == "goods[0].count"
