Solved placements: plans from a solver, proven by exhaustive search, followed by serve

Need: hand-set weights fit poorly across three kinds of machine and two data centres.

Change: pipitshed/placement (model, program on highspy, solve with goals in order, smallest conflicts, least relaxation, explain by duals, score, brute, plan file, follow, learn), the commands under place, and routes/plan, by which serve follows a numbered plan eased in by a tenth of the load a second.

--- /dev/null
+++ b/benchmarks/placement_proof.py
@@ -0,0 +1,113 @@
+"""The solver against exhaustive search on seeded fleets, and each conflict shown for its being smallest.
+
+    python -m benchmarks.placement_proof [--fleets 2000] [--jobs 8]
+
+Fleets have 2 to 8 planners in one or two zones, one or two groups, and constraints that often can't all be
+met.
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+import random
+import time
+from collections import Counter
+
+import click
+
+from pipitshed.placement.brute import MOST, count, search
+from pipitshed.placement.model import Constraints, Demand, Fleet, Floor, Planner, groups
+from pipitshed.placement.program import Solver
+from pipitshed.placement.score import score
+from pipitshed.placement.solve import build, solve
+
+CLOSE = 1e-6
+
+
+def draw(seed: int) -> Fleet:
+    """One fleet; the larger it is the coarser its units, so that all plans can be tried."""
+    rng = random.Random(seed)
+    size = rng.randint(2, 8)
+    alike = rng.random() < 0.15
+    kinds = [1.0, 1.0 + 1e-6] if alike else [0.6, 1.0, 1.0, 1.6]
+    speeds = [rng.choice(kinds) for _ in range(size)]
+    planners = tuple(Planner(
+        f"p{place}", rng.choice("ab"), "m", 4.0, speeds[place], rng.choice([3.0, 8.0, 8.0]),
+        rng.choice([2.0, 8.0, 100.0]), rng.choice([0.8, 1.0]), rng.random() < 0.04,
+        rng.choice([0.0, 0.25, 0.5]) if rng.random() < 0.05 else None) for place in range(size))
+    planners = tuple(Planner(one.id, one.zone) if one.excluded and one.pinned else one for one in planners)
+    total = sum(one.cores * one.speed for one in planners)
+    classes = rng.choice([1, 1, 1, 2])
+    demand = []
+    for number in range(classes):
+        work = rng.uniform(0.2, 1.5)
+        demand.append(Demand(
+            f"c{number}", rng.uniform(0.05, 0.7) * total / work / classes, work, rng.choice(["x", "y"]),
+            float(rng.choice([1, 1, 2, 4])), rng.choice([0.0, 0.2, 0.6]), rng.uniform(0.3, 2.0),
+            rng.choice("ab")))
+    zones = {one.zone for one in planners}
+    demand = [one if one.zone in zones else Demand(one.job_class, one.rate, one.work, one.tenant, one.slots,
+                                                   one.memory, one.wait, min(zones)) for one in demand]
+    floors = (Floor("x", rng.choice([0.2, 0.5])),) if rng.random() < 0.2 else ()
+    units = 8
+    while count(units, size, classes) > MOST // 40:
+        units -= 1
+    return Fleet(planners, (), tuple(demand), Constraints(
+        rng.choice(["none", "none", "zone"]), rng.choice([1.0, 1.0, 0.6]), floors), max(1, units))
+
+
+def judge(seed: int) -> tuple[str, str]:
+    """What became of one fleet: equal, infeasible, or a fault with its description."""
+    fleet = draw(seed)
+    if not groups(fleet):
+        return "empty", ""
+    before = None
+    if seed % 3 == 0:
+        # A plan in force: all on the first planner.
+        name = min(planner.id for planner in fleet.planners)
+        before = {group.name: {name: fleet.units} for group in groups(fleet)}
+    answer, best = solve(fleet, before, whole=True), search(fleet, before)
+    if (best is None) != bool(answer.conflict):
+        return "fault", f"seed {seed}: feasible {best is not None}, conflict {answer.conflict}"
+    if best is None:
+        return _smallest(seed, fleet, list(answer.conflict), answer.relaxed)
+    judged = score(fleet, answer.parts or {}, answer.units, before)
+    if judged.broken:
+        return "fault", f"seed {seed}: broken {judged.broken}"
+    for ours, theirs in zip(judged.vector(), best[1].vector(), strict=True):
+        if abs(ours - theirs) > CLOSE * max(1.0, abs(theirs)):
+            return "fault", f"seed {seed}: {judged.vector()} against {best[1].vector()}"
+    return "equal", ""
+
+
+def _smallest(seed: int, fleet: Fleet, conflict: list[str], relaxed: dict[str, float]) -> tuple[str, str]:
+    program = build(fleet, whole=True).program
+    names = set(program.names())
+    if Solver(program, names - set(conflict)).feasible():
+        return "fault", f"seed {seed}: {conflict} is no conflict"
+    for name in conflict:
+        if not Solver(program, names - set(conflict) | {name}).feasible():
+            return "fault", f"seed {seed}: {name} can be left out of {conflict}"
+    return ("conflict", "") if relaxed else ("fault", f"seed {seed}: no relaxation for {conflict}")
+
+
+@click.command()
+@click.option("--fleets", default=2000, show_default=True)
+@click.option("--first", default=0, show_default=True, help="Seed of the first one.")
+@click.option("--jobs", default=8, show_default=True)
+def main(fleets: int, first: int, jobs: int) -> None:
+    """Judge, and end with 1 where there is any fault."""
+    begun = time.perf_counter()
+    with multiprocessing.Pool(jobs) as pool:
+        found = pool.map(judge, range(first, first + fleets), chunksize=8)
+    for how, what in found:
+        if how == "fault":
+            click.echo(what, err=True)
+    counts = Counter(how for how, _ in found)
+    click.echo(f"{fleets} fleets in {time.perf_counter() - begun:.0f} s: "
+               + ", ".join(f"{name} {number}" for name, number in sorted(counts.items())))
+    raise SystemExit(1 if counts["fault"] else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/placement_scale.py
@@ -0,0 +1,105 @@
+"""Time, memory and gap of a solve at growing size, cold and started from the plan in force; a table and a plot.
+
+    python -m benchmarks.placement_scale [--most 10000] [--plot scale.png] [--json OUT]
+
+Each size is solved in a process of its own, so that its memory is its own. `again` is a solve after one planner
+has become slower, from the basis and the plan in force.
+"""
+
+from __future__ import annotations
+
+import json
+import multiprocessing
+import random
+import resource
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+
+from pipitshed.placement.model import Constraints, Demand, Fleet, Planner, Schedulers
+from pipitshed.placement.score import score
+from pipitshed.placement.solve import shape, solve
+
+SIZES = [(12, 2), (100, 2), (100, 8), (1000, 8), (1000, 40), (10_000, 8), (10_000, 40)]
+SPEEDS = {"fast": (1.4, 1.8), "standard": (0.85, 1.1), "slow": (0.51, 0.69)}
+
+
+def fleet(planners: int, zones: int, seed: int = 1) -> Fleet:
+    """Machines of three models, each with a speed of its own; demand at six tenths of what they can do."""
+    rng = random.Random(seed)
+    made = []
+    for number in range(planners):
+        model = rng.choices(list(SPEEDS), (0.39, 0.28, 0.33))[0]
+        made.append(Planner(f"p{number:05d}", f"z{number % zones:02d}", model, 4.0,
+                            round(rng.uniform(*SPEEDS[model]), 2), 8.0, 8.0))
+    total = sum(one.cores * one.speed for one in made)
+    demand = (Demand("quote", 0.25 * total / 0.3, 0.3, "x", memory=0.4, wait=0.25),
+              Demand("book", 0.35 * total / 1.2, 1.2, "y", 1.5, memory=0.8, wait=1.0))
+    schedulers = tuple(Schedulers(f"z{zone:02d}", rng.randint(1, 4)) for zone in range(zones))
+    return Fleet(tuple(made), schedulers, demand, Constraints(), 1000)
+
+
+def measure(size: tuple[int, int]) -> dict[str, Any]:
+    told = fleet(*size)
+    begun = time.perf_counter()
+    first = solve(told)
+    cold = time.perf_counter() - begun
+    one = told.planners[len(told.planners) // 2]
+    slower = Planner(one.id, one.zone, one.model, one.cores, one.speed * 0.8, one.slots, one.memory)
+    changed = Fleet(tuple(slower if planner is one else planner for planner in told.planners), told.schedulers,
+                    told.demand, told.constraints, told.units)
+    begun = time.perf_counter()
+    again = solve(changed, first.parts, first.basis)
+    warm = time.perf_counter() - begun
+    judged = score(told, first.parts or {}, first.units)
+    made = shape(told)
+    return {"planners": size[0], "zones": size[1], "kinds": len(made.kinds), "cold_s": round(cold, 3),
+            "again_s": round(warm, 3), "worst_use": round(judged.worst, 5),
+            "gap": round(judged.worst - first.goals[0], 6), "conflict": len(first.conflict) + len(again.conflict),
+            "peak_mb": round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024)}
+
+
+def draw(rows: list[dict[str, Any]], path: Path) -> None:
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+    figure, axes = pyplot.subplots(figsize=(7, 4.5))
+    for zones in sorted({row["zones"] for row in rows}):
+        mine = [row for row in rows if row["zones"] == zones]
+        [line] = axes.plot([row["planners"] for row in mine], [row["cold_s"] for row in mine], "o-",
+                           label=f"{zones} zones, cold")
+        axes.plot([row["planners"] for row in mine], [row["again_s"] for row in mine], "x--",
+                  color=line.get_color(), label=f"{zones} zones, after one change")
+    axes.set(xscale="log", yscale="log", xlabel="planners", ylabel="seconds a solve",
+             title="Time to solve a plan")
+    axes.grid(True, which="both", alpha=0.3)
+    axes.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path, dpi=130)
+
+
+@click.command()
+@click.option("--most", default=10_000, show_default=True, help="Planners.")
+@click.option("--plot", type=click.Path(path_type=Path))
+@click.option("--json", "out", type=click.Path(path_type=Path))
+def main(most: int, plot: Path | None, out: Path | None) -> None:
+    """Measure, and print the table."""
+    rows = []
+    for size in SIZES:
+        if size[0] > most:
+            continue
+        with multiprocessing.get_context("spawn").Pool(1) as pool:
+            rows.append(pool.apply(measure, (size,)))
+        if len(rows) == 1:
+            click.echo("  ".join(f"{name:>9}" for name in rows[0]))
+        click.echo("  ".join(f"{value:>9}" for value in rows[-1].values()))
+    if out is not None:
+        out.write_text(json.dumps(rows, indent=1) + "\n")
+    if plot is not None:
+        draw(rows, plot)
+
+
+if __name__ == "__main__":
+    main()
--- a/pipitshed/cli.py
+++ b/pipitshed/cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import sys
 from pathlib import Path
 
@@ -25,21 +26,25 @@
         sys.exit(2)
 
 
+_EXTRA = {"lab": ("pipitshed.lab.commands", "lab"), "place": ("pipitshed.placement.commands", "placement")}
+
+
 class _Commands(click.Group):
-    """The commands; the laboratory's are imported when they are asked for, as they need its extra."""
+    """The commands; those that need an extra are imported when they are asked for."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted([*super().list_commands(ctx), "lab"])
+        return sorted([*super().list_commands(ctx), *_EXTRA])
 
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
-        if name != "lab":
+        if name not in _EXTRA:
             return super().get_command(ctx, name)
+        module, extra = _EXTRA[name]
         try:
-            from pipitshed.lab.commands import lab
+            command: click.Command = getattr(importlib.import_module(module), name)
         except ImportError as error:
-            click.echo(f"pipitshed: the laboratory needs the extra `lab`: {error}", err=True)
+            click.echo(f"pipitshed: `{name}` needs the extra `{extra}`: {error}", err=True)
             sys.exit(2)
-        return lab
+        return command
 
 
 @click.group(cls=_Commands)
@@ -77,7 +82,7 @@
 
 
 @main.command()
-@click.argument("which", type=click.Choice(["front", "translation", "experiment"]))
+@click.argument("which", type=click.Choice(["front", "translation", "experiment", "fleet"]))
 def schema(which: str) -> None:
     """Print the JSON Schema of one of the files, made from the types that read it."""
     import msgspec
@@ -88,6 +93,9 @@
     elif which == "experiment":
         from pipitshed.lab.experiment import Experiment
         kinds[which] = Experiment
+    elif which == "fleet":
+        from pipitshed.placement.model import Fleet
+        kinds[which] = Fleet
     made = {"$schema": "https://json-schema.org/draft/2020-12/schema"} | msgspec.json.schema(kinds[which])
     click.echo(msgspec.json.format(msgspec.json.encode(made), indent=2).decode())
 
--- a/pipitshed/config.py
+++ b/pipitshed/config.py
@@ -133,12 +133,17 @@
     planners: dict[str, Literal[1, 2]] = {}  # by instance id
 
 
+class _Placement(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+    plan: str  # beside the front file; read at the start and on SIGHUP
+
+
 class FrontFile(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
     """The front file as it is written."""
 
     gearman: _Gearman = msgspec.field(default_factory=_Gearman)
     dns_sd: _DnsSd | None = None
     translation: _Translation | None = None
+    placement: _Placement | None = None
 
 
 @dataclass(frozen=True)
@@ -161,6 +166,7 @@
     dns_server: tuple[str, int] | None
     dns_service: str
     translation: Translation | None = None
+    plan: Path | None = None
 
 
 def load_front(path: Path, classes: list[str]) -> Front:
@@ -180,7 +186,8 @@
                     one.form)
              for name, one in file.gearman.functions.items()},
             file.gearman.workers, address_of(file.dns_sd.server) if file.dns_sd else None,
-            file.dns_sd.service if file.dns_sd else "", _translation(path, file, classes))
+            file.dns_sd.service if file.dns_sd else "", _translation(path, file, classes),
+            path.parent / file.placement.plan if file.placement else None)
     except ConfigError:
         raise
     except OSError as error:
--- a/pipitshed/decisions/interface.py
+++ b/pipitshed/decisions/interface.py
@@ -178,6 +178,7 @@
     state: State = State.READY
     classes: frozenset[int] | None = None  # the classes it runs; None for all
     interface: int = 1  # what it speaks
+    planned: tuple[float, ...] | None = None  # by class, a plan's weights in place of the list's
 
 
 @dataclass(frozen=True, slots=True)
--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -65,12 +65,14 @@
 
     __slots__ = ("id", "zone", "cell", "kind", "weight", "started_at", "ready", "unstarted", "shy_until",
                  "strikes", "asked", "room", "room_at", "lent", "lent_at",
-                 "idle", "idle_at", "pace", "pace_at", "held", "classes", "interface")
+                 "idle", "idle_at", "pace", "pace_at", "held", "classes", "interface",
+                 "planned")
 
     def __init__(self, entry: Entry) -> None:
         self.id = entry.worker
         self.zone, self.cell, self.kind = entry.zone, entry.cell, entry.kind
         self.weight, self.classes, self.interface = entry.weight, entry.classes, entry.interface
+        self.planned = entry.planned
         self.started_at = 0.0
         self.ready = False
         self.unstarted = 0  # own jobs sent there that have not started
@@ -239,7 +241,7 @@
         elif entry.weight > 0:
             worker.weight = entry.weight
         worker.ready, worker.classes = entry.state is State.READY, entry.classes
-        worker.interface = entry.interface
+        worker.interface, worker.planned = entry.interface, entry.planned
         if entry.started_at > worker.started_at:
             # A new start: what was held against the old process is void, and it is cold.
             worker.started_at = entry.started_at
@@ -262,8 +264,12 @@
             workers = [worker for worker in self._group(scope) if (kind is None or worker.kind == kind)
                        and (worker.classes is None or job.number in worker.classes)
                        and (job.fits is None or worker.interface in job.fits)]
-            weights = [worker.weight for worker in workers]
-            if self.settings.weights is Weights.NONE or not any(weights):
+            planned = [worker.planned[job.number] for worker in workers if worker.planned is not None]
+            weights = planned if any(planned) else [worker.weight for worker in workers]
+            if len(planned) < len(workers) and weights is planned:
+                # One that has just come waits for its part of the plan.
+                weights = [worker.planned[job.number] if worker.planned else 0.0 for worker in workers]
+            if not any(planned) and self.settings.weights is Weights.NONE or not any(weights):
                 weights = [1.0] * len(workers)
             self.pools[key] = Pool(workers, weights) if workers else None
         return self.pools[key]
@@ -339,8 +345,9 @@
         room in a small zone is called off, which closes one."""
         group = self._may(job)[1]
         own: Scope = ("zone", self.settings.zone)
-        if group is not None or self.settings.zones < 2 or self._pool(own, job) is None:
-            return group
+        if group is not None or self.settings.zones < 2 or self._pool(own, job) is None or any(
+                worker.planned for worker in self._group(own)):
+            return group  # a plan has weighed what crosses already
         near, all_ = self._pool(own, job), self._pool(None, job)
         if near and all_ and self.rng.random() * all_.sums[-1] > near.sums[-1] * self.settings.zones:
             return None  # a zone with few workers, or few left, keeps no more than its capacity's part
--- a/pipitshed/exchange/route_table.py
+++ b/pipitshed/exchange/route_table.py
@@ -19,6 +19,7 @@
         self._targets: dict[WorkerId, EgressTarget] = {}
         self._listed: dict[str, dict[WorkerId, Entry]] = {}
         self._held: dict[WorkerId, float] = {}  # said itself that it drains: the start for which that holds
+        self._planned: dict[WorkerId, tuple[float, ...]] | None = None  # a plan's weights by class
         self._interfaces: frozenset[int] | None = None
         self.on_interfaces: Callable[[], None] = lambda: None  # another set of interfaces is listed
 
@@ -44,7 +45,10 @@
         listed = self._listed.setdefault(source, {})
         entries: dict[WorkerId, Entry] = {}
         for entry, target in lines:
-            entries[entry.worker] = self._as_held(entry)
+            entry = self._as_held(entry)
+            if self._planned is not None:
+                entry = replace(entry, planned=self._planned.get(entry.worker))
+            entries[entry.worker] = entry
             self._targets[entry.worker] = target
         if kind is ListKind.FULL:
             for worker, old in listed.items():
@@ -73,6 +77,23 @@
             return entry
         return replace(entry, state=State.DRAINING) if entry.state is State.READY else entry
 
+    def entries(self) -> list[Entry]:
+        """All that is listed now."""
+        return [entry for listed in self._listed.values() for entry in listed.values()]
+
+    def plan(self, weights: dict[WorkerId, tuple[float, ...]] | None) -> None:
+        """Weights by class in place of the list's, or the list's own again."""
+        self._planned = weights
+        changed = []
+        for listed in self._listed.values():
+            for worker, entry in listed.items():
+                planned = weights.get(worker) if weights is not None else None
+                if planned != entry.planned:
+                    listed[worker] = replace(entry, planned=planned)
+                    changed.append(listed[worker])
+        if changed:
+            self._tell(ListNews(ListKind.DELTA, 0, tuple(changed)))
+
     def hold(self, worker: WorkerId) -> None:
         """The planner itself has said that it drains: nothing new goes there, whatever its sources list,
         until they tell of a newer start, or it is released."""
--- /dev/null
+++ b/pipitshed/placement/model.py
@@ -0,0 +1,177 @@
+"""A fleet, its demand and its constraints, typed and checked; each problem with its line."""
+
+from __future__ import annotations
+
+import math
+import tomllib
+from collections.abc import Iterator
+from typing import Literal
+
+import msgspec
+
+from pipitshed.wire.toml import line_of
+
+LEAST, MOST = 1e-9, 1e9  # of every figure that is not 0
+
+
+class Planner(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """One planner."""
+
+    id: str
+    zone: str
+    model: str = "standard"
+    cores: float = 4.0
+    speed: float = 1.0  # of a core; the yardstick is 1
+    slots: float = 8.0
+    memory: float = 1e9  # units
+    cap: float = 1.0  # most of its cores, slots and memory that the plan may use
+    excluded: bool = False
+    pinned: float | None = None  # part of all the load (by work) that it carries, exactly
+
+
+class Schedulers(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """The schedulers of one zone; jobs of a demand without a zone come in by their counts."""
+
+    zone: str
+    count: int = 1
+
+
+class Demand(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """The jobs of one class and tenant."""
+
+    job_class: str = msgspec.field(name="class")
+    rate: float = 0.0  # jobs a second
+    work: float = 1.0  # s of a core at speed 1
+    tenant: str = ""
+    slots: float = 1.0
+    memory: float = 0.0
+    wait: float = 1.0  # s that it may wait and still be in time
+    zone: str = ""  # where it comes in; none: by the counts of schedulers
+
+
+class Floor(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """A tenant's share: capacity for so much of all work is kept for it, whether it asks for it or not."""
+
+    tenant: str
+    share: float
+
+
+class Constraints(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """What a plan must keep beside each planner's own figures."""
+
+    headroom: Literal["none", "zone"] = "none"  # zone: with any one zone lost, the rest still carries all
+    most: float = 1.0  # part of all the load that one planner may carry
+    floors: tuple[Floor, ...] = ()
+    crossing: dict[str, float] = {}  # cost of a job that goes from one zone to another, by `a > b`
+    default_crossing: float = 1.0
+
+
+class Fleet(msgspec.Struct, rename="kebab", forbid_unknown_fields=True, frozen=True):
+    """The whole file."""
+
+    planners: tuple[Planner, ...]
+    schedulers: tuple[Schedulers, ...] = ()
+    demand: tuple[Demand, ...] = ()
+    constraints: Constraints = Constraints()
+    units: int = 1000  # into which each group is split
+    life_s: float = 86_400.0  # how long a plan counts
+
+
+class FleetError(ValueError):
+    """The fleet can't be used; one line for each problem."""
+
+
+def read(text: str) -> Fleet:
+    """The typed fleet."""
+    try:
+        fleet = msgspec.convert(tomllib.loads(text), Fleet)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise FleetError(str(error)) from None
+    found = [f"line {line}: {where}: {why}" for line, where, why in _problems(fleet, text)]
+    if found:
+        raise FleetError("\n".join(found))
+    return fleet
+
+
+def _figure(value: float, zero: bool = True) -> bool:
+    return math.isfinite(value) and ((zero and value == 0) or LEAST <= value <= MOST)
+
+
+def _problems(fleet: Fleet, text: str) -> Iterator[tuple[int, str, str]]:
+    seen: set[str] = set()
+    zones = {planner.zone for planner in fleet.planners} | {one.zone for one in fleet.schedulers}
+    if not fleet.planners:
+        yield 1, "planners", "there are none"
+    if fleet.units < 1:
+        yield 1, "units", "must be 1 or more"
+    if not _figure(fleet.life_s, False):
+        yield 1, "life-s", "is out of range"
+    for place, planner in enumerate(fleet.planners):
+        where = f"planner {planner.id or place}"
+        if not planner.id or planner.id in seen:
+            yield line_of(text, "planners", place, "id"), where, "has no id of its own"
+        seen.add(planner.id)
+        for name in ("cores", "speed", "slots", "memory", "cap"):
+            if not _figure(getattr(planner, name), name in ("slots", "memory")):
+                yield line_of(text, "planners", place, name), where, f"{name} is out of range"
+        if planner.pinned is not None and not 0 <= planner.pinned <= 1:
+            yield line_of(text, "planners", place, "pinned"), where, "pinned is not a part, 0 to 1"
+        if planner.excluded and planner.pinned:
+            yield line_of(text, "planners", place, "pinned"), where, "is excluded and pinned"
+    for place, one in enumerate(fleet.schedulers):
+        if one.count < 0:
+            yield line_of(text, "schedulers", place, "count"), f"schedulers {one.zone}", "count is below 0"
+    for place, demand in enumerate(fleet.demand):
+        where = f"demand {demand.job_class} {demand.tenant}".rstrip()
+        for name in ("rate", "work", "slots", "memory", "wait"):
+            if not _figure(getattr(demand, name), name not in ("work", "slots", "wait")):
+                yield line_of(text, "demand", place, name), where, f"{name} is out of range"
+        if demand.zone and demand.zone not in zones:
+            yield line_of(text, "demand", place, "zone"), where, f"there is no zone {demand.zone!r}"
+        if not demand.zone and not any(one.count > 0 for one in fleet.schedulers):
+            yield line_of(text, "demand", place), where, "names no zone, and no schedulers stand anywhere"
+    total = sum(floor.share for floor in fleet.constraints.floors)
+    if total > 1 + 1e-9 or any(not 0 <= floor.share <= 1 for floor in fleet.constraints.floors):
+        yield 1, "constraints.floors", f"the shares add up to {total:g}: more than there is"
+    if not 0 < fleet.constraints.most <= 1:
+        yield 1, "constraints.most", "is not a part, over 0 and up to 1"
+
+
+class Group(msgspec.Struct, frozen=True):
+    """The jobs of one class that come in at one zone: sums over tenants."""
+
+    zone: str
+    job_class: str
+    rate: float  # jobs a second
+    work: float  # s of cores at speed 1, a second
+    slot_work: float  # slots times s at speed 1, a second
+    memory_work: float  # memory units times s at speed 1, a second
+    slots: float  # most that one of its jobs takes
+    memory: float
+    wait: float  # s, the mean
+
+    @property
+    def name(self) -> str:
+        return f"{self.zone}/{self.job_class}"
+
+
+def groups(fleet: Fleet) -> list[Group]:
+    """All groups with any demand, by zone and class."""
+    parts: dict[tuple[str, str], list[tuple[Demand, float]]] = {}
+    counted = sum(one.count for one in fleet.schedulers)
+    for demand in fleet.demand:
+        where = [(demand.zone, 1.0)] if demand.zone else [
+            (one.zone, one.count / counted) for one in fleet.schedulers if one.count > 0]
+        for zone, part in where:
+            if demand.rate > 0:
+                parts.setdefault((zone, demand.job_class), []).append((demand, demand.rate * part))
+    made = []
+    for (zone, job_class), held in sorted(parts.items()):
+        rate = math.fsum(one for _, one in held)
+        made.append(Group(
+            zone, job_class, rate, math.fsum(one * demand.work for demand, one in held),
+            math.fsum(one * demand.work * demand.slots for demand, one in held),
+            math.fsum(one * demand.work * demand.memory for demand, one in held),
+            max(demand.slots for demand, _ in held), max(demand.memory for demand, _ in held),
+            math.fsum(one * demand.wait for demand, one in held) / rate))
+    return made
--- /dev/null
+++ b/pipitshed/placement/program.py
@@ -0,0 +1,173 @@
+"""A linear or mixed-integer program on HiGHS, built by named rows and solved for one goal after another."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import highspy
+import numpy as np
+
+HELD = 1e-7  # by which a later goal may worsen an earlier one, of its value or of 1
+INFINITY = highspy.kHighsInf
+
+
+@dataclass(slots=True)
+class Row:
+    """lower <= sum of terms <= upper, part of the named constraint `name` ("" for definitions)."""
+
+    terms: Mapping[int, float]
+    lower: float
+    upper: float
+    name: str = ""
+    scale: float = 1.0  # all three are so many times smaller than they were told
+
+
+@dataclass
+class Program:
+    """Columns, rows and goals; `solve` may be called again with constraints left out or relaxed."""
+
+    lower: list[float] = field(default_factory=list)
+    upper: list[float] = field(default_factory=list)
+    whole: list[bool] = field(default_factory=list)
+    rows: list[Row] = field(default_factory=list)
+
+    def column(self, lower: float = 0.0, upper: float = INFINITY, whole: bool = False) -> int:
+        """A new column's number."""
+        self.lower.append(lower)
+        self.upper.append(upper)
+        self.whole.append(whole)
+        return len(self.lower) - 1
+
+    def row(self, terms: Mapping[int, float], lower: float, upper: float, name: str = "") -> None:
+        """Add a row, scaled by its largest figure: fleets hold numbers from 1e-9 to 1e9."""
+        most = max((abs(value) for value in terms.values()), default=0.0)
+        scale = 1.0
+        if most > 0 and not 1e-3 < most < 1e3:
+            terms, scale = {column: value / most for column, value in terms.items()}, most
+            lower, upper = lower / most, upper / most
+        self.rows.append(Row(terms, lower, upper, name, scale))
+
+    def names(self) -> list[str]:
+        """All named constraints, in the order of their first rows."""
+        return list(dict.fromkeys(row.name for row in self.rows if row.name))
+
+
+@dataclass(slots=True)
+class Solution:
+    """What a solve came to."""
+
+    values: np.ndarray[Any, np.dtype[np.float64]]
+    goals: list[float]
+    duals: np.ndarray[Any, np.dtype[np.float64]]  # of the last goal's rows; empty for a mixed program
+    basis: Any
+
+
+def _quiet() -> Any:
+    """HiGHS, whose constructor writes a banner to standard output before it can be told not to."""
+    sys.stdout.flush()
+    held, nowhere = os.dup(1), os.open(os.devnull, os.O_WRONLY)
+    try:
+        os.dup2(nowhere, 1)
+        return highspy.Highs()  # type: ignore[no-untyped-call]
+    finally:
+        os.dup2(held, 1)
+        os.close(held)
+        os.close(nowhere)
+
+
+class Solver:
+    """One program inside HiGHS, kept between solves so that each starts where the last one ended."""
+
+    def __init__(self, program: Program, without: Iterable[str] = ()) -> None:
+        left_out = set(without)
+        self.program = program
+        self.rows = [row for row in program.rows if not row.name or row.name not in left_out]
+        self.mixed = any(program.whole)
+        self._highs: Any = _quiet()
+        for name, value in (
+                ("log_to_console", False), ("output_flag", False), ("threads", 1), ("random_seed", 1),
+                ("primal_feasibility_tolerance", 1e-9), ("dual_feasibility_tolerance", 1e-9),
+                ("mip_feasibility_tolerance", 1e-9), ("mip_rel_gap", 0.0), ("mip_abs_gap", 1e-9)):
+            self._highs.setOptionValue(name, value)
+        self._highs.passModel(self._model())
+
+    def _model(self) -> Any:
+        program = self.program
+        model = highspy.HighsLp()
+        model.num_col_, model.num_row_ = len(program.lower), len(self.rows)
+        model.col_cost_ = np.zeros(len(program.lower))
+        model.col_lower_, model.col_upper_ = np.array(program.lower), np.array(program.upper)
+        model.row_lower_ = np.array([row.lower for row in self.rows])
+        model.row_upper_ = np.array([row.upper for row in self.rows])
+        model.a_matrix_.format_ = highspy.MatrixFormat.kRowwise
+        model.a_matrix_.start_ = np.cumsum([0, *(len(row.terms) for row in self.rows)]).astype(np.int32)
+        model.a_matrix_.index_ = np.array([column for row in self.rows for column in row.terms], np.int32)
+        model.a_matrix_.value_ = np.array([value for row in self.rows for value in row.terms.values()], float)
+        if self.mixed:
+            model.integrality_ = [highspy.HighsVarType.kInteger if whole else highspy.HighsVarType.kContinuous
+                                  for whole in program.whole]
+        return model
+
+    def start(self, basis: Any) -> None:
+        """Begin at the end of an earlier solve of a program of the same shape."""
+        if basis is not None and len(basis.col_status) == len(self.program.lower) and (
+                len(basis.row_status) == len(self.rows)):
+            self._highs.setBasis(basis)
+
+    def feasible(self) -> bool:
+        """Whether anything keeps all rows."""
+        self._highs.run()
+        return bool(self._highs.getModelStatus() == highspy.HighsModelStatus.kOptimal)
+
+    def solve(self, goals: Sequence[Mapping[int, float]]) -> Solution | None:
+        """The best by the first goal, among these by the second, and so on; None where nothing keeps all."""
+        found: list[float] = []
+        columns = np.arange(len(self.program.lower), dtype=np.int32)
+        solution = basis = None
+        for place, goal in enumerate(goals):
+            most = max((abs(value) for value in goal.values()), default=0.0)
+            scale = 1.0 if not most or 1e-4 < most < 1e4 else most
+            costs = np.zeros(len(columns))
+            for column, value in goal.items():
+                costs[column] = value / scale
+            self._highs.changeColsCost(len(columns), columns, costs)
+            self._highs.run()
+            if self._highs.getModelStatus() != highspy.HighsModelStatus.kOptimal:
+                if place == 0 or solution is None:
+                    return None
+                found.append(found[-1])
+                continue
+            solution = self._highs.getSolution()
+            basis = None if self.mixed else self._highs.getBasis()
+            best = float(self._highs.getInfo().objective_function_value)
+            found.append(best * scale)
+            if place + 1 < len(goals) and goal:
+                index = np.array(list(goal), np.int32)
+                self._highs.addRow(-INFINITY, best + HELD * max(1.0, abs(best)), len(index), index,
+                                   np.array([goal[column] / scale for column in goal]))
+        if solution is None:
+            return None
+        duals = np.array(solution.row_dual) if not self.mixed else np.zeros(0)
+        return Solution(np.array(solution.col_value), found, duals, basis)
+
+
+def smallest_conflict(program: Program) -> list[str]:
+    """Named constraints that can't be met together, none of which can be left out: chunks are left out as
+    long as what remains is still in conflict, down to single ones (a deletion filter)."""
+    names = program.names()
+    kept, size = list(names), max(1, len(names) // 2)
+    while True:
+        place = 0
+        while place < len(kept):
+            rest = kept[:place] + kept[place + size:]
+            if not Solver(program, set(names) - set(rest)).feasible():
+                kept = rest
+            else:
+                place += size
+        if size == 1:
+            return kept
+        size = max(1, size // 2)
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from pipitshed.routes.dns_sd import DnsSd
+    from pipitshed.routes.plan import FollowedPlan
     from pipitshed.translating import TranslationParts
 
 LISTEN_ON = 0.5  # s after SIGTERM: new connections keep coming for up to 0.4 s
@@ -66,6 +67,7 @@
                                 Listing(SOURCE, zones, kinds, self.carrier, carriers), self.core.routes, loop)
             self.dns_sd.start()
         translator = self.translation.translator if self.translation is not None else None
+        self.plan = self._plan(config, front) if front.plan is not None else None
         self.front = HttpFront(self.core, Reading(self.core, config.classes, config.tenants, translator),
                                int(config.sockets * CLIENTS_PART), loop)
         self.listeners = [Listener(config.listen, self.front.connection, loop, self.front.has_room)]
@@ -100,6 +102,14 @@
         assert front.translation is not None
         return TranslationParts(self.core, self.carrier, front.translation, config.classes, self._loop)
 
+    def _plan(self, config: Config, front: Front) -> FollowedPlan:
+        # Imported where it is asked for, as above.
+        from pipitshed.routes.plan import FollowedPlan
+        assert front.plan is not None
+        zone = config.zones[config.settings.zone] if config.zones else ""
+        return FollowedPlan(front.plan, zone, config.classes, config.settings.rules.cold, self.core.routes,
+                            self._loop)
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, and then until all that was taken is answered."""
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -113,6 +123,8 @@
     def reload(self) -> None:
         """Read the configuration again and follow discovery to the address it names; exchanges, hops and the
         route table stay as they are."""
+        if self.plan is not None:
+            self.plan.read()
         # Guards against the end of the program by a file that is half written or wrong: the old one stands.
         try:
             config = load()
@@ -162,6 +174,8 @@
             self.discovery.close()
         if self.dns_sd is not None:
             self.dns_sd.close()
+        if self.plan is not None:
+            self.plan.close()
         if self.gearman is not None:
             self.gearman.close()
         self.carrier.close()
--- a/pipitshed/translation/file.py
+++ b/pipitshed/translation/file.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 import tomllib
 from collections.abc import Iterator
 from itertools import pairwise
@@ -13,6 +12,7 @@
 from pipitshed.translation import steps
 from pipitshed.translation.steps import ClassSteps
 from pipitshed.translation.values import Field
+from pipitshed.wire.toml import line_of
 
 ENVELOPE = ("id", "class", "tenant", "key", "deadline")
 # How the two interfaces carry what no step may touch: published, so not for files to vary.
@@ -76,37 +76,6 @@
     """The file can't be used; one line for each problem."""
 
 
-_HEADER = re.compile(r"\s*\[\[?\s*([^\]]+?)\s*\]\]?\s*(#.*)?$")
-_KEY = re.compile(r"\s*((?:\"[^\"]+\"|[\w-]+)(?:\.(?:\"[^\"]+\"|[\w-]+))*)\s*=")
-
-
-def line_of(text: str, list_name: str, index: int, *path: str) -> int:
-    """The line on which the deepest part of a place stands that the text has: item `index` of a list of
-    tables, then keys. 1 where nothing is found."""
-    best, depth, count = 1, -1, -1
-    here: list[str] = []
-    for number, line in enumerate(text.splitlines(), 1):
-        if header := _HEADER.match(line):
-            here = [part.strip().strip('"') for part in header[1].split(".")]
-            if here == [list_name] and line.lstrip().startswith("[["):
-                count += 1
-            names = here
-        elif key := _KEY.match(line):
-            names = here + [part.strip('"') for part in key[1].split(".")]
-        else:
-            continue
-        if count != index or names[:1] != [list_name]:
-            continue
-        same = 0
-        for ours, theirs in zip(names[1:], path, strict=False):
-            if ours != theirs:
-                break
-            same += 1
-        if same == len(names) - 1 and same > depth:
-            best, depth = number, same
-    return best
-
-
 def read(text: str) -> TranslationFile:
     """The typed file; TranslationError where it is none, or where anything would be lost."""
     try:
