--- a/benchmarks/placement_scale.py
+++ b/benchmarks/placement_scale.py
@@ -1,9 +1,9 @@
-"""Time, memory and gap of a solve at growing size, cold and started from the plan in force; a table and a plot.
+"""Time, memory and gap of a solve at growing size, cold and from the plan in force; a table and a plot.
 
     python -m benchmarks.placement_scale [--most 10000] [--plot scale.png] [--json OUT]
 
-Each size is solved in a process of its own, so that its memory is its own. `again` is a solve after one planner
-has become slower, from the basis and the plan in force.
+Each size is solved in a process of its own, so that its memory is its own. `again` is a solve after one
+planner has become slower, from the basis and the plan in force.
 """
 
 from __future__ import annotations
@@ -48,8 +48,8 @@
     cold = time.perf_counter() - begun
     one = told.planners[len(told.planners) // 2]
     slower = Planner(one.id, one.zone, one.model, one.cores, one.speed * 0.8, one.slots, one.memory)
-    changed = Fleet(tuple(slower if planner is one else planner for planner in told.planners), told.schedulers,
-                    told.demand, told.constraints, told.units)
+    planners = tuple(slower if planner is one else planner for planner in told.planners)
+    changed = Fleet(planners, told.schedulers, told.demand, told.constraints, told.units)
     begun = time.perf_counter()
     again = solve(changed, first.parts, first.basis)
     warm = time.perf_counter() - begun
@@ -57,7 +57,8 @@
     made = shape(told)
     return {"planners": size[0], "zones": size[1], "kinds": len(made.kinds), "cold_s": round(cold, 3),
             "again_s": round(warm, 3), "worst_use": round(judged.worst, 5),
-            "gap": round(judged.worst - first.goals[0], 6), "conflict": len(first.conflict) + len(again.conflict),
+            "gap": round(judged.worst - first.goals[0], 6),
+            "conflict": len(first.conflict) + len(again.conflict),
             "peak_mb": round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024)}
 
 
--- a/pipitshed/placement/solve.py
+++ b/pipitshed/placement/solve.py
@@ -14,6 +14,7 @@
 EXACT_UNITS = 64
 ALIKE_FROM = 200  # planners from which those that differ by less than ALIKE count as alike
 ALIKE = 0.02
+LARGE = 2000  # parts from which a zone's planners that can hold the same jobs are one column
 UNITS_EACH = 16  # units a planner at least, so that no weight rounds to nothing
 RESOURCES = ("cores", "slots", "memory")
 KNOTS = (0.0, 0.3, 0.5, 0.6, 0.7, 0.8, 0.85, 0.9, 0.95, 0.98, 1.0)  # of use; lateness is chords between
@@ -28,7 +29,13 @@
 
     planners: list[Planner]
     zone: str
-    room: dict[str, float]  # resource: what there is of it at the planner's cap, in s at speed 1 a second
+    room: dict[str, float]  # resource: the mean of it at a planner's cap, in s at speed 1 a second
+    typical: Planner
+
+    def parts(self) -> list[tuple[str, float]]:
+        """Each planner's part of what goes to the kind: by capacity."""
+        total = math.fsum(room(one)["cores"] for one in self.planners)
+        return [(one.id, room(one)["cores"] / total) for one in self.planners]
 
     @property
     def capacity(self) -> float:
@@ -85,10 +92,24 @@
         alone = exact or planner.pinned is not None
         key = (planner.zone, figures, planner.excluded, planner.id if alone else "")
         by_key.setdefault(key, []).append(planner)
+    if len(by_key) * len(wanted) > LARGE:
+        merged: dict[Any, list[Planner]] = {}
+        for held in by_key.values():
+            first = held[0]
+            fits = tuple(first.slots >= group.slots and first.memory >= group.memory for group in wanted)
+            single = first.id if first.pinned is not None else ""
+            merged.setdefault((first.zone, fits, first.excluded, single), []).extend(held)
+        by_key = {key: sorted(held, key=lambda one: one.id) for key, held in merged.items()}
     kinds = []
     for held in by_key.values():
         mean = {name: math.fsum(room(one)[name] for one in held) / len(held) for name in RESOURCES}
-        kinds.append(Kind(held, held[0].zone, mean))
+        first = held[0]
+        cores = math.fsum(one.cores for one in held) / len(held)
+        cap = math.fsum(one.cap for one in held) / len(held)
+        speed = mean["cores"] / cores / cap
+        typical = first if len(held) == 1 else Planner(
+            first.id, first.zone, first.model, cores, speed, first.slots, first.memory, cap)
+        kinds.append(Kind(held, first.zone, mean, typical))
     units = fleet.units if exact else max(fleet.units, UNITS_EACH * len(fleet.planners))
     return Shape(fleet, wanted, kinds, units, exact)
 
@@ -184,9 +205,9 @@
         if (k, "cores") in used:
             late = program.column()
             late_columns.append(late)
-            for slope, at_zero in lateness(kind.planners[0], mean_work, wait, all_cores(fleet)):
+            for slope, at_zero in lateness(kind.typical, mean_work, wait, all_cores(fleet)):
                 count = len(kind.planners)
-                program.row({used[k, "cores"]: slope * count * kind.planners[0].cap, late: -1.0},
+                program.row({used[k, "cores"]: slope * count * kind.typical.cap, late: -1.0},
                             -INFINITY, -at_zero * count)
     _losses(made, program, parts, used, worst, units)
     _floors(made, program)
@@ -362,7 +383,7 @@
         for k, kind in enumerate(made.kinds):
             if (g, k) in built.parts:
                 value = float(values[built.parts[g, k]]) * (1 if made.exact else made.units)
-                wanted += [(planner.id, value / len(kind.planners)) for planner in kind.planners]
+                wanted += [(name, value * part) for name, part in kind.parts()]
         units = {name: math.floor(value + 1e-6) for name, value in wanted}
         missing = round(math.fsum(value for _, value in wanted)) - sum(units.values())
         by_rest = sorted(wanted, key=lambda one: (-(one[1] - units[one[0]]), one[0]))
