--- a/pipitshed/cli.py
+++ b/pipitshed/cli.py
@@ -57,6 +57,17 @@
     return ", ".join(str(form.version) for form in asked.translation.file.forms)
 
 
+def _number(path: Path) -> str:
+    """What `check` says of a plan; the program ends where `serve` would turn it down."""
+    from pipitshed.placement.plan import PlanError, read
+    try:
+        return f", plan {read(path.read_bytes()).number} followed"
+    except (OSError, PlanError) as error:
+        text = error.strerror if isinstance(error, OSError) else f"it {error}"
+        click.echo(f"pipitshed: {path}: {text}", err=True)
+        sys.exit(2)
+
+
 @main.command()
 @front_option
 def serve(front: Path) -> None:
@@ -74,11 +85,12 @@
 def check(front: Path) -> None:
     """Read the configuration and the front file, and say what they ask for."""
     config, asked = _load(front)
+    plan = _number(asked.plan) if asked.plan is not None else ""
     gearman = ", ".join(f"{host}:{port}" for host, port in asked.listen) or "off"
     click.echo(f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, "
                f"classes {', '.join(config.classes)}, "
                f"{len(config.known.instances) if config.known else 0} planners known, Gearman {gearman}"
-               + (f", forms {_versions(asked)} translated" if asked.translation else ""))
+               + (f", forms {_versions(asked)} translated" if asked.translation else "") + plan)
 
 
 @main.command()
--- a/pipitshed/egress/grpc.py
+++ b/pipitshed/egress/grpc.py
@@ -1,53 +1,30 @@
 """Hops to planners of interface 2: many on one HTTP/2 connection, each a stream.
 
-The outcomes follow the table in docs/design/translation.md. Nothing of a request is written before the
-planner's SETTINGS have come: so a planner of the other interface, or one that can't be reached, proves that
-nothing ran.
+The outcomes follow the table in docs/design/translation.md.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import logging
-from collections import deque
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
-from typing import Any, cast
+from typing import Any
 
-import h2.errors
-import h2.events
-import h2.exceptions
-import h2.settings
-from google.protobuf.message import DecodeError
 from hpack import NeverIndexedHeaderTuple
 
 from pipitshed import __version__
-from pipitshed.decisions.interface import NoteKind, Outcome
+from pipitshed.egress.grpc_connection import Connection, Header, Stream
 from pipitshed.exchange.core import Core
 from pipitshed.exchange.parties import EgressTarget, Hop
-from pipitshed.interfaces import planner_pb2
-from pipitshed.wire.grpc import MESSAGE_LIMIT, BadMessageError, Http2, Status, frame, messages, timeout_text
+from pipitshed.wire.grpc import timeout_text
 
 Address = tuple[str, int]
-Header = tuple[bytes, bytes]
 
 IDLE_SPARE = 0.1  # part of the planner's idle time by which a connection is closed ahead of it
-STREAMS = 256  # of ours on one connection at most, whatever the planner allows
-UNREAD_LIMIT = 1024 * 1024  # bytes that a planner may leave unread before its connection is closed
-WINDOW = 2 * MESSAGE_LIMIT  # of a stream and of a connection: what may stand here half received
-HEADS = 16 * 1024  # bytes of a header list
-LINGER = 0.25  # s that a stream may stand open behind the event that ends its job
-PROBE_TIMEOUT = 0.5  # s
-PING_WAIT = 2.5  # s for the answer to a PING
-FLOOD = 256  # resets, pings and settings a second from which a planner's connection is closed
 _FIXED: list[Header] = [
     (b":method", b"POST"), (b":scheme", b"http"), (b":path", b"/pipitshed.planner.v2.Planner/Run"),
     (b":authority", b"service.internal"), (b"te", b"trailers"), (b"content-type", b"application/grpc+proto"),
     (b"user-agent", f"pipitshed/{__version__}".encode())]
-_CANCEL, _REFUSED = h2.errors.ErrorCodes.CANCEL, h2.errors.ErrorCodes.REFUSED_STREAM
-
-log = logging.getLogger("pipitshed")
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,449 +50,6 @@
         return head
 
 
-class _Stream:
-    """One hop on its stream."""
-
-    __slots__ = ("connection", "hop", "number", "unsent", "buffer", "heard", "verdict", "result", "written",
-                 "timer")
-
-    def __init__(self, connection: _Connection, hop: Hop, number: int, body: bytes) -> None:
-        self.connection, self.hop, self.number = connection, hop, number
-        self.unsent = memoryview(body)
-        self.buffer = bytearray()
-        self.heard = False  # a message has come
-        self.verdict: Outcome | None = None  # told by an event; the status behind it may say more
-        self.result = b""
-        self.written = False  # END_STREAM is handed over
-        self.timer: asyncio.TimerHandle | None = None
-
-
-class _Connection(asyncio.Protocol):
-    """One connection to one planner."""
-
-    def __init__(self, carrier: GrpcCarrier, target: EgressTarget) -> None:
-        self.target = target
-        self.carrier = carrier
-        self.queue: deque[Hop] = deque()  # for the connection, or for a free stream
-        self.streams: dict[int, _Stream] = {}
-        self.leaving = False  # no new streams: the planner said so, or all numbers are used up
-        self.over = False
-        self.left = 0  # hops that left this connection free, as the decisions hold
-        self._http2 = Http2()
-        self._transport: asyncio.Transport | None = None
-        self.up = False  # the planner's SETTINGS have come
-        self._unflushed: set[int] = set()  # streams whose last bytes the kernel may not have
-        self._clogged = False
-        self._due = False  # a flush is
-        self._idle: asyncio.TimerHandle | None = None
-        self._alive: asyncio.TimerHandle | None = None
-        self._pinged = False
-        self._probes: dict[bytes, float] = {}  # by what the PING carries: when they were asked for
-        self._silence = carrier.keepalive
-        self._heard_at = 0.0
-        self._control = 0  # frames of the kinds that cost us and bring nothing, this second
-        self._control_since = 0.0
-
-    # ---- the connection
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.Transport, transport)  # uvloop's are none by inheritance
-        self._transport.set_write_buffer_limits(high=0)
-        self._http2.local_settings = h2.settings.Settings(client=True, initial_values={
-            h2.settings.SettingCodes.ENABLE_PUSH: 0, h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: WINDOW,
-            h2.settings.SettingCodes.MAX_HEADER_LIST_SIZE: HEADS})
-        self._http2.initiate_connection()
-        self._http2.increment_flow_control_window(WINDOW)
-        self._flush()
-
-    def pause_writing(self) -> None:
-        self._clogged = True
-        if self._transport is not None and self._transport.get_write_buffer_size() > UNREAD_LIMIT:
-            self.abort()
-
-    def resume_writing(self) -> None:
-        self._clogged = False
-        self._unflushed.clear()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        if not self.up and not self.over:
-            # It was there, and closed on the preface, as planners of interface 1 do.
-            self.carrier.on_wrong_interface(self.target)
-        self.end()
-
-    def abort(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
-        self.end()
-
-    def end(self) -> None:
-        """It is no more: each hop on it gets its outcome."""
-        if self.over:
-            return
-        self.over = True
-        for timer in (self._idle, self._alive):
-            if timer is not None:
-                timer.cancel()
-        self.carrier.lost(self)
-        streams, self.streams = list(self.streams.values()), {}
-        queue, self.queue = list(self.queue), deque()
-        for stream in streams:
-            self._release(stream)
-            sent = stream.written and stream.number not in self._unflushed
-            self._report(stream, stream.verdict or (Outcome.RESET if sent else Outcome.CONNECT_FAILED))
-        for hop in queue:
-            self.carrier.core.hop_ended(hop, Outcome.CONNECT_FAILED)
-        for sign in list(self._probes):
-            self._probed(sign, Outcome.CONNECT_FAILED)
-        for _ in range(self.left):
-            self.carrier.core.link_lost(self.target)
-
-    def close(self) -> None:
-        """Close in good order: nothing is owed here."""
-        if self._transport is not None and not self.over:
-            self._http2.close_connection()
-            self._flush()
-            self._transport.close()
-        self.end()
-
-    # ---- what goes out
-
-    def add(self, hop: Hop) -> None:
-        """A hop for this connection: on a stream at once, or when one is free."""
-        hop.link = self
-        hop.ran = False
-        self.queue.append(hop)
-        if self._idle is not None:
-            self._idle.cancel()
-            self._idle = None
-        if self.up:
-            self._open_streams()
-
-    def forget(self, hop: Hop) -> None:
-        """Take a hop that has no stream yet out of the queue."""
-        if hop in self.queue:
-            self.queue.remove(hop)
-            self._rest()
-
-    def cancel(self, stream: _Stream) -> bool:
-        """Call a hop off on its stream; whether it may have run."""
-        self._reset(stream)
-        return stream.written
-
-    def _open_streams(self) -> None:
-        """Give waiting hops streams, as many as the planner allows."""
-        most = min(STREAMS, self._http2.remote_settings.max_concurrent_streams)
-        while self.queue and not self.leaving and not self.over and len(self.streams) < most:
-            hop = self.queue.popleft()
-            if hop.over:
-                continue
-            try:
-                number = self._http2.get_next_available_stream_id()
-            except h2.exceptions.NoAvailableStreamIDError:
-                self.queue.appendleft(hop)
-                self.leave()
-                return
-            stream = self.streams[number] = hop.link = _Stream(self, hop, number, frame(hop.body))
-            left = hop.deadline - self.carrier.loop.time()
-            self._http2.send_headers(number, self.carrier.naming.metadata(hop, left))
-            self.left = max(0, self.left - 1)
-            self._pump(stream)
-        self._flush_soon()
-        if self.streams and self._alive is None:
-            self._heard_at = self.carrier.loop.time()
-            self._alive = self.carrier.loop.call_later(self._silence, self._look)
-
-    def _pump(self, stream: _Stream) -> None:
-        """Send as much of a request as the planner's windows allow."""
-        if stream.written:
-            return
-        try:
-            while not stream.written:
-                room = min(self._http2.local_flow_control_window(stream.number),
-                           self._http2.max_outbound_frame_size)
-                if room <= 0:
-                    return
-                part, stream.unsent = stream.unsent[:room], stream.unsent[room:]
-                last = not len(stream.unsent)
-                self._http2.send_data(stream.number, bytes(part), end_stream=last)
-                stream.written = last
-        except h2.exceptions.ProtocolError:
-            return  # the planner has ended it in this very turn: the event that says so follows
-        stream.hop.ran = True
-        self._unflushed.add(stream.number)
-
-    def _flush_soon(self) -> None:
-        if not self._due and not self.over:
-            self._due = True
-            self.carrier.loop.call_soon(self._flush)
-
-    def _flush(self) -> None:
-        self._due = False
-        data = self._http2.data_to_send()
-        transport = self._transport
-        if not data or transport is None or transport.is_closing():
-            return
-        transport.write(data)
-        if not self._clogged and not transport.is_closing():
-            self._unflushed.clear()
-        elif transport.get_write_buffer_size() > UNREAD_LIMIT:
-            self.abort()
-
-    def _reset(self, stream: _Stream, ended: bool = False) -> None:
-        """Give a stream up, and make room for the next one; it is called off unless the planner ended it."""
-        self._release(stream)
-        if self.streams.pop(stream.number, None) is not None and not self.over:
-            if not ended:
-                # Where the planner has ended it in this very turn there is nothing to call off.
-                with contextlib.suppress(h2.exceptions.ProtocolError):
-                    self._http2.reset_stream(stream.number, _CANCEL)
-                self._flush_soon()
-            self._rest()
-
-    def _release(self, stream: _Stream) -> None:
-        if stream.timer is not None:
-            stream.timer.cancel()
-        stream.unsent.release()
-
-    # ---- what comes in
-
-    def data_received(self, data: bytes) -> None:
-        self._heard_at = self.carrier.loop.time()
-        try:
-            events = self._http2.receive_data(data)
-        except Exception as error:  # whatever a planner sends, it ends its own connection alone
-            if not self.up:
-                # No HTTP/2 at all: nothing was written to it, and it is of the other interface.
-                self.carrier.on_wrong_interface(self.target)
-            else:
-                log.warning("grpc: %s: %s", type(error).__name__, error)
-            self._flush()
-            self.abort()
-            return
-        for event in events:
-            if self.over:
-                return
-            self._take(event)
-        self._flush()
-
-    def _take(self, event: h2.events.Event) -> None:
-        number = getattr(event, "stream_id", None)
-        stream = self.streams.get(number) if number else None
-        if isinstance(event, h2.events.DataReceived):
-            # What has come is used at once, so the windows open again at once; half a message is bounded.
-            if event.flow_controlled_length:
-                self._http2.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
-            if stream is not None:
-                self._data(stream, event.data)
-        elif isinstance(event, h2.events.ResponseReceived | h2.events.TrailersReceived):
-            if stream is not None:
-                self._heads(stream, dict(event.headers), isinstance(event, h2.events.ResponseReceived),
-                            event.stream_ended is not None)
-        elif isinstance(event, h2.events.StreamEnded):
-            if stream is not None:
-                # Where neither an event nor a status has ended the job.
-                self._finish(stream, Outcome.RESET, ended=stream.written)
-        elif isinstance(event, h2.events.StreamReset):
-            if stream is not None:
-                self._count_control()
-                # Proof that it never ran: the planner refused the stream, or had not got the whole request.
-                unrun = Outcome.FULL if event.error_code == _REFUSED else Outcome.CONNECT_FAILED
-                known = event.error_code == _REFUSED or not stream.written
-                self._finish(stream, unrun if known else Outcome.RESET, ended=True)
-        elif isinstance(event, h2.events.RemoteSettingsChanged):
-            self._count_control()
-            self.up = True
-            for one in list(self.streams.values()):
-                self._pump(one)
-            self._open_streams()
-            for sign in self._probes:
-                self._http2.ping(sign)
-            self._rest()
-        elif isinstance(event, h2.events.WindowUpdated):
-            for one in [stream] if stream is not None else list(self.streams.values()) if not number else []:
-                self._pump(one)
-        elif isinstance(event, h2.events.ConnectionTerminated):
-            self._goaway(event)
-        elif isinstance(event, h2.events.PingReceived):
-            self._count_control()
-        elif isinstance(event, h2.events.PingAckReceived):
-            if event.ping_data in self._probes:
-                self._probed(event.ping_data, Outcome.OK)
-            else:
-                self._pinged = False
-
-    def _count_control(self) -> None:
-        """Guards against floods of frames that cost us work and bring nothing."""
-        now = self.carrier.loop.time()
-        if now - self._control_since > 1.0:
-            self._control, self._control_since = 0, now
-        self._control += 1
-        if self._control > FLOOD:
-            log.warning("grpc: a planner floods its connection, which is closed")
-            self._http2.close_connection(h2.errors.ErrorCodes.ENHANCE_YOUR_CALM)
-            self._flush()
-            self.abort()
-
-    def _data(self, stream: _Stream, data: bytes) -> None:
-        stream.buffer += data
-        try:
-            for message in messages(stream.buffer):
-                event = planner_pb2.RunEvent.FromString(message)
-                if event.id != stream.hop.exchange.request.id:
-                    raise BadMessageError("an event is for another request")
-                stream.heard = True
-                self._event(stream, event)
-                if stream.verdict is not None:
-                    return
-        except (BadMessageError, DecodeError) as error:
-            log.info("grpc: %s", error)
-            self._report(stream, Outcome.RESET)
-            self._reset(stream)
-
-    def _event(self, stream: _Stream, event: planner_pb2.RunEvent) -> None:
-        kind, core = event.WhichOneof("event"), self.carrier.core
-        if kind == "started":
-            core.hop_noted(stream.hop, NoteKind.STARTED)
-        elif kind == "running":
-            core.hop_noted(stream.hop, NoteKind.PROGRESS, min(1.0, max(0.0, event.running.share)))
-        elif kind == "done":
-            stream.verdict = Outcome.OK
-            self._report(stream, Outcome.OK, event.done.SerializeToString())
-        elif kind == "failed":
-            stream.verdict = Outcome.ERROR
-            stream.result = f"{event.failed.code}: {event.failed.text}".encode()
-        elif kind == "returned":
-            stream.verdict = Outcome.FULL
-        if stream.verdict is not None:
-            # The status behind it may ask to wait; and a stream that is never ended holds no place for long.
-            stream.timer = self.carrier.loop.call_later(LINGER, self._lingered, stream)
-
-    def _lingered(self, stream: _Stream) -> None:
-        if stream.number in self.streams:
-            self._report(stream, stream.verdict or Outcome.RESET, stream.result)
-            self._reset(stream)
-
-    def _heads(self, stream: _Stream, headers: dict[bytes, bytes], first: bool, ended: bool) -> None:
-        status = headers.get(b"grpc-status")
-        if status is None:
-            if first and (headers.get(b":status") != b"200"
-                          or not headers.get(b"content-type", b"").startswith(b"application/grpc")):
-                self._finish(stream, Outcome.RESET)  # something between us and the planner has spoken
-            return
-        pushback: float | None = None
-        if b"grpc-retry-pushback-ms" in headers:
-            try:
-                pushback = float(int(headers[b"grpc-retry-pushback-ms"]))
-            except ValueError:
-                pushback = -1.0  # gRPC's retry design: what can't be read says not to try again
-        outcome = self._by_status(stream, status, headers)
-        stream.result = stream.result or headers.get(b"grpc-message", b"")
-        self._finish(stream, outcome, pushback, ended and stream.written)
-
-    def _by_status(self, stream: _Stream, status: bytes, headers: dict[bytes, bytes]) -> Outcome:
-        code = int(status) if status.isdigit() else -1
-        if code == Status.OK:
-            return Outcome.RESET  # it ended without an event that ends the job
-        if headers.get(b"x-not-run") == b"1" and not stream.heard:
-            return Outcome.FULL
-        if code == Status.UNIMPLEMENTED and not stream.heard:
-            self.carrier.on_wrong_interface(self.target)
-            return Outcome.CONNECT_FAILED
-        if code == Status.DEADLINE_EXCEEDED:
-            return Outcome.TIMEOUT
-        if code in (Status.UNAVAILABLE, Status.CANCELLED):
-            return Outcome.RESET
-        return Outcome.ERROR
-
-    def _finish(self, stream: _Stream, outcome: Outcome, pushback: float | None = None,
-                ended: bool = False) -> None:
-        """The stream has nothing more to say; `ended` where both sides have ended it."""
-        self._report(stream, stream.verdict or outcome, stream.result, pushback)
-        self._reset(stream, ended)
-
-    def _report(self, stream: _Stream, outcome: Outcome, result: bytes = b"",
-                pushback: float | None = None) -> None:
-        if not stream.hop.over:
-            if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL) and not self.over:
-                self.left += 1
-            self.carrier.core.hop_ended(stream.hop, outcome, result, (), pushback)
-
-    def _goaway(self, event: h2.events.ConnectionTerminated) -> None:
-        code, last = event.error_code, event.last_stream_id or 0
-        if code == h2.errors.ErrorCodes.ENHANCE_YOUR_CALM:
-            self.carrier.keepalive = min(600.0, 2 * self.carrier.keepalive)  # our pings were too many
-        self.leave()
-        for stream in [one for one in self.streams.values() if one.number > last]:
-            self._release(stream)
-            del self.streams[stream.number]
-            self._report(stream, Outcome.CONNECT_FAILED)
-        if code == h2.errors.ErrorCodes.NO_ERROR:
-            self.carrier.on_drain(self.target)
-        self._rest()
-
-    def leave(self) -> None:
-        """No new streams here; what runs may end, what waits has never run."""
-        if self.leaving:
-            return
-        self.leaving = True
-        self.carrier.lost(self)
-        queue, self.queue = list(self.queue), deque()
-        for hop in queue:
-            self.carrier.core.hop_ended(hop, Outcome.CONNECT_FAILED)
-
-    # ---- probes: a PING tells that the planner is there, and nothing of its load
-
-    def probe(self) -> None:
-        self.carrier.probes += 1
-        sign = b"%08x" % (self.carrier.probes & 0xFFFF_FFFF)
-        self._probes[sign] = self.carrier.loop.time()
-        self.carrier.loop.call_later(PROBE_TIMEOUT, self._probed, sign, Outcome.TIMEOUT)
-        if self.up:
-            self._http2.ping(sign)
-            self._flush_soon()
-
-    def _probed(self, sign: bytes, outcome: Outcome) -> None:
-        begun = self._probes.pop(sign, None)
-        if begun is not None:
-            self.carrier.core.probe_ended(self.target, outcome, (self.carrier.loop.time() - begun) * 1000)
-            self._rest()
-
-    # ---- between requests
-
-    def _rest(self) -> None:
-        """A stream has ended: the next hop takes its place, or the connection is idle."""
-        if self.over:
-            return
-        if self.queue and self.up:
-            self._open_streams()
-        if self.streams or self.queue or self._probes:
-            return
-        if self._alive is not None:
-            self._alive.cancel()
-            self._alive = None
-        if self.leaving:
-            self.carrier.loop.call_soon(self.close)
-        elif self._idle is None:
-            self._idle = self.carrier.loop.call_later(self.carrier.idle_for, self.close)
-
-    def _look(self) -> None:
-        """Guards against a planner that has vanished: a connection that is silent with jobs on it is asked
-        for a sign of life, and ended when none comes."""
-        loop = self.carrier.loop
-        silent = loop.time() - self._heard_at
-        if self._pinged and silent >= PING_WAIT:
-            self.abort()
-            return
-        if silent >= self._silence:
-            self._pinged = True
-            self._http2.ping(b"pipitshe")
-            self._flush()
-            self._alive = loop.call_later(PING_WAIT, self._look)
-        else:
-            self._pinged = False
-            self._alive = loop.call_later(self._silence - silent, self._look)
-
-
 class GrpcCarrier:
     """One connection to each planner, opened when there is a hop for it."""
 
@@ -523,7 +57,7 @@
                  keepalive: float) -> None:
         self.core = core
         self.loop = loop
-        self.naming = Naming(classes)
+        self.metadata = Naming(classes).metadata
         self.keepalive = keepalive  # s of silence, with jobs out, before a sign of life is asked for
         self.on_wrong_interface: Callable[[EgressTarget], None] = lambda target: None
         self.on_drain: Callable[[EgressTarget], None] = lambda target: core.routes.hold(target.id)
@@ -531,28 +65,28 @@
         self.connect_timeout = limits.connect_timeout / 1000
         self.idle_for = limits.idle_close / 1000 * (1 - IDLE_SPARE)
         self.probes = 0
-        self._connections: dict[Address, _Connection] = {}  # those that take new streams
-        self._all: set[_Connection] = set()
+        self._connections: dict[Address, Connection] = {}  # those that take new streams
+        self._all: set[Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def carry(self, hop: Hop) -> None:
         self._connection(hop.target).add(hop)
 
-    def _connection(self, target: EgressTarget) -> _Connection:
+    def _connection(self, target: EgressTarget) -> Connection:
         """The one that takes new streams; it may still be coming up."""
         connection = self._connections.get(target.address)
         if connection is None:
             self.core.tally["connections"] += 1
-            connection = self._connections[target.address] = _Connection(self, target)
+            connection = self._connections[target.address] = Connection(self, target)
             self._all.add(connection)
             self._start(self._connect(connection))
         return connection
 
     def drop(self, hop: Hop) -> bool:
         link = hop.link
-        if isinstance(link, _Stream):
+        if isinstance(link, Stream):
             return link.connection.cancel(link)
-        if isinstance(link, _Connection):
+        if isinstance(link, Connection):
             link.forget(hop)
         return False
 
@@ -570,7 +104,7 @@
         for connection in list(self._all):
             connection.close()
 
-    def lost(self, connection: _Connection) -> None:
+    def lost(self, connection: Connection) -> None:
         """It takes no new streams any more."""
         if self._connections.get(connection.target.address) is connection:
             del self._connections[connection.target.address]
@@ -582,7 +116,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _connect(self, connection: _Connection) -> None:
+    async def _connect(self, connection: Connection) -> None:
         """Open it; whatever keeps its SETTINGS away for longer than a connection may take ends it."""
         host, port = connection.target.address
         try:
--- /dev/null
+++ b/pipitshed/lab/arms.py
@@ -0,0 +1,74 @@
+"""Arms of an experiment, played side by side on the same seeds, and compared pair by pair."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import multiprocessing
+import statistics
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from pipitshed.lab.accounts import broken
+from pipitshed.lab.experiment import Experiment, play, raise_descriptors
+from pipitshed.lab.fleet import ZONES, Fleet
+from pipitshed.placement import plan as plans
+from pipitshed.placement.model import Constraints, Demand, Planner
+from pipitshed.placement.model import Fleet as Told
+from pipitshed.placement.plan import Place, Plan
+from pipitshed.placement.score import capacity
+from pipitshed.placement.solve import solve
+
+FIGURES = ("in_time_quote", "in_time_book", "worst_use", "crossings")
+T95 = {4: 3.18, 5: 2.78, 8: 2.36, 10: 2.26, 20: 2.09}  # Student's, by the number of pairs
+
+
+def solved(experiment: Experiment, fleet: Fleet) -> bytes:
+    """A plan for the experiment's fleet and traffic."""
+    shape, traffic = experiment.fleet, experiment.clients
+    planners = tuple(Planner(one.name, one.zone, "m", float(shape.slots), one.speed, float(shape.slots))
+                     for one in fleet.members)
+    demand = tuple(Demand(name, rate, sum(span) / 2000, wait=traffic.wanted_ms[name] / 1000, zone=ZONES[0])
+                   for name, rate, span in (("quote", traffic.rate * (1 - traffic.book), shape.quote_ms),
+                                            ("book", traffic.rate * traffic.book, shape.book_ms)))
+    told = Told(planners, (), demand, Constraints(), 1000)
+    answer = solve(told)
+    if answer.parts is None or answer.conflict:
+        raise SystemExit(f"no plan for this fleet: {answer.conflict}")
+    return plans.write(Plan(
+        plans.FORMAT, 1, time.time(), told.life_s, answer.units,
+        {one.id: Place(one.zone, one.model, capacity(one)) for one in planners}, answer.parts))
+
+
+def _one(job: tuple[Experiment, int, int, int]) -> dict[str, Any]:
+    experiment, place, requests, seed = job
+    raise_descriptors()
+    figures = asyncio.run(play(experiment, requests, seed, arm=experiment.arms[place]))
+    return {name: figures[name] for name in FIGURES} | {"broken": broken(figures)}
+
+
+def compare(experiment: Experiment, requests: int, seeds: int, jobs: int) -> dict[str, Any]:
+    """Each arm's means, and its differences from the first arm with their 95% intervals."""
+    work = [(experiment, place, requests, experiment.seed + seed)
+            for seed in range(seeds) for place in range(len(experiment.arms))]
+    with multiprocessing.get_context("spawn").Pool(jobs) as pool:
+        found = pool.map(_one, work, chunksize=1)
+    by_arm = [found[place::len(experiment.arms)] for place in range(len(experiment.arms))]
+    arms: dict[str, Any] = {}
+    for arm, runs in zip(experiment.arms, by_arm, strict=True):
+        arms[arm.name] = {name: round(statistics.fmean(run[name] for run in runs), 4) for name in FIGURES}
+        arms[arm.name]["against_first"] = {
+            name: _interval([run[name] - base[name] for run, base in zip(runs, by_arm[0], strict=True)])
+            for name in FIGURES}
+    return {"experiment": experiment.name, "seeds": seeds, "requests": requests, "arms": arms,
+            "broken": sorted({one for run in found for one in run["broken"]})}
+
+
+def _interval(differences: Sequence[float]) -> list[float]:
+    """Mean, low and high."""
+    mean, count = statistics.fmean(differences), len(differences)
+    if count < 2:
+        return [round(mean, 4)]
+    half = T95.get(count, 2.0 if count > 20 else 4.3) * statistics.stdev(differences) / math.sqrt(count)
+    return [round(mean, 4), round(mean - half, 4), round(mean + half, 4)]
--- a/pipitshed/lab/commands.py
+++ b/pipitshed/lab/commands.py
@@ -43,8 +43,11 @@
 @click.option("--json", "out", type=click.Path(path_type=Path), help="Where the account goes.")
 @click.option("--short", is_flag=True, help="As many requests as the file's `short-requests`.")
 @click.option("--seed", type=int, help="Instead of the file's.")
-def run(file: Path, out: Path | None, short: bool, seed: int | None) -> None:
-    """Play an experiment on loopback and give the exact account; exit code 1 where a rule broke."""
+@click.option("--seeds", default=20, show_default=True, help="For a file with arms: pairs of plays.")
+@click.option("--jobs", default=3, show_default=True, help="For a file with arms: plays at a time.")
+def run(file: Path, out: Path | None, short: bool, seed: int | None, seeds: int, jobs: int) -> None:
+    """Play an experiment on loopback and give the exact account, or compare its arms; exit code 1 where a
+    rule broke."""
     try:
         experiment = experiments.read(file.read_text())
     except experiments.ExperimentError as error:
@@ -52,6 +55,14 @@
         sys.exit(2)
     experiments.raise_descriptors()
     requests = experiment.clients.short_requests if short else experiment.clients.requests
+    if experiment.arms:
+        from pipitshed.lab.arms import compare  # it needs the solver, an extra of its own
+        compared = compare(experiment, requests, seeds, jobs)
+        text = json.dumps(compared, indent=1)
+        if out is not None:
+            out.write_text(text + "\n")
+        click.echo(text)
+        sys.exit(1 if compared["broken"] else 0)
     with Progress(console=Console(stderr=True), transient=True) as progress:
         task = progress.add_task(experiment.name, total=requests)
         figures = asyncio.run(experiments.play(
--- a/pipitshed/lab/experiment.py
+++ b/pipitshed/lab/experiment.py
@@ -16,10 +16,11 @@
 
 from pipitshed.lab.accounts import account
 from pipitshed.lab.clients import KINDS, Asked, GearmanClients, HttpClients, draw
-from pipitshed.lab.fleet import Fleet
+from pipitshed.lab.fleet import ZONES, Fleet
 from pipitshed.lab.planner import Behaviour
 from pipitshed.lab.program import Running, scheduler
 
+EASED = 9.0  # s in which a plan is eased in
 SETTLE = 0.3  # s after the start before traffic: what has no told interface is found out
 
 
@@ -34,6 +35,8 @@
     fail: float = 0.0
     quote_ms: tuple[float, float] = (10.0, 40.0)
     book_ms: tuple[float, float] = (30.0, 90.0)
+    speeds: tuple[float, ...] = ()  # of each planner; the yardstick is 1
+    weights: tuple[float, ...] = ()  # that discovery lists
 
 
 class ClientsFile(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
@@ -46,6 +49,7 @@
     book: float = 0.4  # part of the requests that are `book`
     cancel: float = 0.0  # part whose client goes early
     unfit: float = 0.0  # part of version 1 with a field that interface 2 can't express
+    wanted_ms: dict[str, float] = msgspec.field(default_factory=lambda: {"quote": 250.0, "book": 1000.0})
 
 
 class Trouble(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
@@ -59,6 +63,14 @@
     factor: float = 8.0  # how much slower
 
 
+class Arm(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
+    """One of the ways that are compared."""
+
+    name: str
+    weights: tuple[float, ...] = ()  # that discovery lists
+    solved: bool = False  # the scheduler follows a plan solved from the fleet and the traffic
+
+
 class Experiment(msgspec.Struct, rename="kebab", forbid_unknown_fields=True):
     """The whole file."""
 
@@ -67,6 +79,7 @@
     fleet: FleetFile = msgspec.field(default_factory=FleetFile)
     clients: ClientsFile = msgspec.field(default_factory=ClientsFile)
     troubles: list[Trouble] = []
+    arms: list[Arm] = []
 
 
 class ExperimentError(ValueError):
@@ -81,6 +94,10 @@
         raise ExperimentError(str(error)) from None
     if unknown := set(experiment.clients.mix) - set(KINDS):
         raise ExperimentError(f"clients.mix: no such clients: {', '.join(sorted(unknown))}")
+    told = (experiment.fleet.weights, experiment.fleet.speeds, *(arm.weights for arm in experiment.arms))
+    for weights in told:
+        if weights and len(weights) != experiment.fleet.planners:
+            raise ExperimentError(f"weights and speeds are {experiment.fleet.planners}, one for each planner")
     for trouble in experiment.troubles:
         if not 0 <= trouble.planner <= experiment.fleet.planners:
             raise ExperimentError(f"troubles: there is no planner {trouble.planner}")
@@ -95,7 +112,8 @@
 
 
 async def play(experiment: Experiment, requests: int, seed: int,
-               progress: Callable[[int], None] = lambda done: None) -> dict[str, object]:
+               progress: Callable[[int], None] = lambda done: None,
+               arm: Arm | None = None) -> dict[str, object]:
     """Play it once; the account, with what the scheduler used."""
     rng = random.Random(seed)
     shape, traffic = experiment.fleet, experiment.clients
@@ -104,11 +122,16 @@
     fleet = Fleet(behaviour, seed)
     # By zone pairs, so that each zone has planners that tell and planners that are found out.
     tells = [(place // 2 + 1) / max(1, shape.planners // 2) <= shape.tells for place in range(shape.planners)]
-    await fleet.start(interfaces(shape), tells)
+    weights = arm.weights if arm is not None and arm.weights else shape.weights
+    await fleet.start(interfaces(shape), tells, shape.speeds, weights)
+    plan = b""
+    if arm is not None and arm.solved:
+        from pipitshed.lab.arms import solved  # the solver is an extra of its own
+        plan = solved(experiment, fleet)
     asked: list[Asked] = []
     try:
-        async with scheduler(fleet.discovery.port) as running:
-            await asyncio.sleep(SETTLE)
+        async with scheduler(fleet.discovery.port, plan=plan) as running:
+            await asyncio.sleep(EASED if plan else SETTLE)
             begun, before = monotonic(), _used(running)
             length = requests / traffic.rate
             script = asyncio.create_task(_script(experiment, fleet, rng, length))
@@ -120,6 +143,13 @@
     finally:
         await fleet.close()
     figures = account(asked, fleet.record.runs, fleet.members)
+    for name, wanted in traffic.wanted_ms.items():
+        mine = [one for one in asked if one.job_class == name and one.outcome != "withdrawn"]
+        good = sum(one.outcome == "served" and (one.ended - one.sent) * 1000 <= wanted for one in mine)
+        figures[f"in_time_{name}"] = round(good / len(mine), 4) if mine else 1.0
+    figures["worst_use"] = round(max(member.planner.busy / took / shape.slots for member in fleet.members), 4)
+    ran = [run for run in fleet.record.runs if run.how != "returned"]
+    figures["crossings"] = round(sum(run.zone != ZONES[0] for run in ran) / max(1, len(ran)), 4)
     times = sorted(one.ended - one.sent for one in asked if one.outcome == "served")
     figures |= {
         "experiment": experiment.name, "seed": seed, "seconds": round(took, 2),
--- a/pipitshed/lab/fleet.py
+++ b/pipitshed/lab/fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from time import monotonic
 
@@ -77,11 +78,13 @@
     started_ms: float = 0.0
     lifecycle: str = "ready"
     starts: int = 0
+    speed: float = 1.0
+    weight: float = 1.0
     drains: list[tuple[float, float]] = field(default_factory=list)  # told of a drain, and of the next start
 
     def row(self) -> dict[str, object]:
         row = {"instanceId": self.name, "hostPort": f"127.0.0.1:{self.gate.port}", "zone": self.zone,
-               "cell": 0, "machineType": "standard", "lifecycle": self.lifecycle, "weight": 1.0,
+               "cell": 0, "machineType": "standard", "lifecycle": self.lifecycle, "weight": self.weight,
                "startedAtMs": self.started_ms}
         return row | ({"interface": self.interface} if self.tells else {})
 
@@ -148,21 +151,25 @@
         self._seed = seed
         self._ends: set[asyncio.Task[None]] = set()
 
-    async def start(self, interfaces: list[int], tells: list[bool]) -> None:
+    async def start(self, interfaces: list[int], tells: list[bool], speeds: Sequence[float] = (),
+                    weights: Sequence[float] = ()) -> None:
         for place, (interface, told) in enumerate(zip(interfaces, tells, strict=True)):
+            speed = speeds[place] if speeds else 1.0
             name, zone = f"planner-{place + 1}", ZONES[place % len(ZONES)]
             gate = Gate()
             await gate.start()
-            planner, door = self._make(name, zone, interface)
-            member = Member(name, zone, interface, told, gate, planner, door)
+            planner, door = self._make(name, zone, interface, speed)
+            member = Member(name, zone, interface, told, gate, planner, door, speed=speed,
+                            weight=weights[place] if weights else 1.0)
             self.members.append(member)
             await self._open(member)
         self.discovery.members = self.members
         await self.discovery.start()
 
-    def _make(self, name: str, zone: str, interface: int) -> tuple[Planner, HttpInterface | GrpcInterface]:
+    def _make(self, name: str, zone: str, interface: int,
+              speed: float) -> tuple[Planner, HttpInterface | GrpcInterface]:
         self._seed += 1
-        planner = Planner(name, zone, interface, self.behaviour, self.record, self._seed)
+        planner = Planner(name, zone, interface, self.behaviour, self.record, self._seed, speed)
         return planner, (HttpInterface if interface == 1 else GrpcInterface)(planner)
 
     @staticmethod
@@ -195,7 +202,7 @@
 
     async def come_back(self, member: Member, interface: int, told: float) -> None:
         member.interface = interface
-        member.planner, member.door = self._make(member.name, member.zone, interface)
+        member.planner, member.door = self._make(member.name, member.zone, interface, member.speed)
         member.starts += 1
         await self._open(member)
         member.lifecycle, member.started_ms = "ready", time.time() * 1000
--- a/pipitshed/lab/planner.py
+++ b/pipitshed/lab/planner.py
@@ -74,8 +74,9 @@
     """One planner's work; the interface before it hands jobs in and carries events out."""
 
     def __init__(self, name: str, zone: str, interface: int, behaviour: Behaviour, record: Record,
-                 seed: int) -> None:
-        self.name, self.zone, self.interface = name, zone, interface
+                 seed: int, speed: float = 1.0) -> None:
+        self.name, self.zone, self.interface, self.speed = name, zone, interface, speed
+        self.busy = 0.0  # s of slots at work so far
         self.behaviour, self.record = behaviour, record
         self.draining = False
         self.held = 0
@@ -110,7 +111,9 @@
                     yield "started", None
                     least, most = self.behaviour.work_ms[job.job_class]
                     for part in (0.5, 1.0):
-                        await asyncio.sleep(self._rng.uniform(least, most) / 2000 * self.behaviour.slow)
+                        took = self._rng.uniform(least, most) / 2000 * self.behaviour.slow / self.speed
+                        self.busy += took
+                        await asyncio.sleep(took)
                         if part < 1.0:
                             yield "running", part
                     if self._rng.random() < self.behaviour.fail:
--- a/pipitshed/lab/program.py
+++ b/pipitshed/lab/program.py
@@ -79,7 +79,8 @@
 @contextlib.asynccontextmanager
 async def scheduler(discovery_port: int, http: str = "127.0.0.1:0", gearman: str = "127.0.0.1:0",
                     translate: bool = True, root: Path | None = None,
-                    known: list[dict[str, object]] | None = None) -> AsyncIterator[Running]:
+                    known: list[dict[str, object]] | None = None,
+                    plan: bytes = b"") -> AsyncIterator[Running]:
     """One scheduler; it ends with the block. `root`: a checkout other than this one."""
     with tempfile.TemporaryDirectory(prefix="pipitshed-lab-") as folder:
         path = Path(folder)
@@ -87,7 +88,9 @@
         (path / "config.json").write_text(json.dumps(made))
         text = front_text(gearman)
         plain = text.partition("[translation]")[0].replace(", form = 0", "").replace(", form = 1", "")
-        (path / "front.toml").write_text(text if translate else plain)
+        following = '\n[placement]\nplan = "plan.json"\n' if plan else ""
+        (path / "plan.json").write_bytes(plan)
+        (path / "front.toml").write_text((text if translate else plain) + following)
         (path / "translation.toml").write_text((TEMPLATES / "translation.toml").read_text())
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "pipitshed", "serve", "--front", str(path / "front.toml"),
@@ -96,12 +99,13 @@
         running = Running(process, 0, 0, [])
         assert process.stdout is not None
         try:
-            ports = []
-            for _ in range(2 if gearman else 1):
+            ports: list[int] = []
+            while len(ports) < (2 if gearman else 1):
                 line = (await asyncio.wait_for(process.stdout.readline(), START_WITHIN)).decode()
-                if "listening" not in line:
+                if "listening" in line:
+                    ports.append(int(line.rpartition(":")[2]))
+                elif not line.startswith("INFO"):
                     raise RuntimeError(f"the scheduler did not start: {line.strip()}")
-                ports.append(int(line.rpartition(":")[2]))
             running.http, running.gearman = ports[0], ports[1] if gearman else 0
             reading = asyncio.create_task(_read(process.stdout, running.log))
             yield running
--- a/pipitshed/placement/follow.py
+++ b/pipitshed/placement/follow.py
@@ -28,7 +28,7 @@
     cold: float = 0.0  # ms for which a planner that has just started is cold
     plan: Plan | None = None
     _eased: list[dict[WorkerId, float]] = field(default_factory=list)  # by class: parts in force
-    _told: dict[str, int] = field(default_factory=dict)
+    moving: bool = False  # the last step did not come to the plan's own parts yet
 
     def offer(self, plan: Plan, now: float, listed: Iterable[Entry]) -> None:
         """Take a plan whole; PlanError with the reason, and the one in force stands. `now`: Unix time, s."""
@@ -57,14 +57,10 @@
         wanted = [self._warm(self._wanted(self.plan, name, ready), ready, now) for name in self.classes]
         if not self._eased:
             self._eased = [self._listed(ready) for _ in self.classes]
+        self.moving = False
         self._eased = [self._ease(old, new, ready) for old, new in zip(self._eased, wanted, strict=True)]
         return {worker: tuple(SCALE * parts.get(worker, 0.0) for parts in self._eased) for worker in ready}
 
-    @property
-    def settled(self) -> bool:
-        """Whether the last step came to the plan's own parts."""
-        return not self._told.get("moving", 0)
-
     @staticmethod
     def _listed(ready: Mapping[WorkerId, Entry]) -> dict[WorkerId, float]:
         total = sum(entry.weight for entry in ready.values()) or 1.0
@@ -77,10 +73,6 @@
         listed = self._listed(ready) if cold else {}
         return parts | {worker: min(parts[worker], listed[worker]) for worker in cold}
 
-    @staticmethod
-    def _wanted_name(worker: WorkerId) -> str:
-        return worker.decode("utf-8", "replace")
-
     def _wanted(self, plan: Plan, job_class: str,
                 ready: Mapping[WorkerId, Entry]) -> dict[WorkerId, float]:
         """The plan's parts among those that are ready. One that it does not know gets what its listed weight
@@ -92,7 +84,7 @@
         known_weight = known_part = 0.0
         strangers = []
         for worker, entry in ready.items():
-            name = self._wanted_name(worker)
+            name = worker.decode("utf-8", "replace")
             if name in plan.planners:
                 parts[worker] = held.get(name, 0) / plan.units
                 known_weight += entry.weight
@@ -115,8 +107,8 @@
         start = {worker: staying.get(worker, 0.0) / total if total else new.get(worker, 0.0)
                  for worker in ready}
         shift = sum(abs(new.get(worker, 0.0) - part) for worker, part in start.items()) / 2
-        self._told["moving"] = int(shift > 1e-9)
         if shift <= STEP:
             return {worker: new.get(worker, 0.0) for worker in ready}
+        self.moving = True
         part = STEP / shift
         return {worker: held + part * (new.get(worker, 0.0) - held) for worker, held in start.items()}
--- a/tests/test_fuzz_frames.py
+++ b/tests/test_fuzz_frames.py
@@ -16,7 +16,7 @@
     RstStreamFrame, SettingsFrame, WindowUpdateFrame)
 
 from pipitshed.decisions.interface import Send
-from pipitshed.egress.grpc import UNREAD_LIMIT, _Connection
+from pipitshed.egress.grpc_connection import UNREAD_LIMIT, Connection
 from pipitshed.exchange.parties import EgressTarget
 from pipitshed.interfaces import planner_pb2 as pb
 from pipitshed.wire.grpc import MESSAGE_LIMIT, frame
@@ -108,7 +108,7 @@
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda _, context: faults.append(context))
         async with bench() as world:
-            connection = _Connection(world.carrier, EgressTarget(b"p1", world.carrier, ("127.0.0.1", 1), 2))
+            connection = Connection(world.carrier, EgressTarget(b"p1", world.carrier, ("127.0.0.1", 1), 2))
             world.carrier._connections["127.0.0.1", 1] = connection
             world.carrier._all.add(connection)
             world.core.routes._targets[b"p1"] = connection.target
--- a/tests/test_grpc_egress.py
+++ b/tests/test_grpc_egress.py
@@ -219,14 +219,18 @@
 
 
 @story
-async def test_a_long_body_goes_through_a_window_of_one_byte() -> None:
-    body = b'{"origin":"LIM","destination":"AQP","pallets":2,"remark":"' + b"x" * 3000 + b'"}'
+async def test_a_body_of_64_kib_goes_through_a_window_of_one_byte() -> None:
+    """A byte a frame: the hop beside it is not held up, and both are whole."""
+    item = b'{"sku":"%s","count":7}' % (b"P" * 20)
+    body = BOOK[:-1] + b',"goods":[' + b",".join([item] * ((65_000 - len(BOOK)) // (len(item) + 1))) + b"]}"
+    assert 64_000 < len(body) <= 65_536
     async with GrpcPlanner(initial_window_size=1) as planner, bench(planner) as made:
-        caller = made.ask("quote", body)
+        caller = made.ask("book", body, patience=15_000.0)
         beside = made.ask("quote")
-        assert (await caller.answer())[0] == (await beside.answer())[0] == "served"
-        remarks = [pb.RunRequest.FromString(call.body[PREFIX.size:]).quote.remark for call in planner.calls]
-        assert "x" * 3000 in remarks
+        assert (await beside.answer())[0] == "served" and not caller.told
+        assert (await caller.answer())[0] == "served"
+        told = pb.RunRequest.FromString(planner.calls[-1].body[PREFIX.size:]).book.goods
+        assert len(told) == body.count(b"sku") and {one.count for one in told} == {7}
 
 
 @story
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -278,3 +278,22 @@
     told.write_text("planners = 3")
     code, text = call("solve", str(told), "-o", str(other))
     assert code == 2 and "Traceback" not in text
+
+
+def test_check_says_what_a_plan_is_worth(tmp_path: Path) -> None:
+    assert CliRunner().invoke(main, ["init", str(tmp_path)]).exit_code == 0
+    front, path = tmp_path / "front.toml", tmp_path / "plan.json"
+    front.write_text(front.read_text() + '\n[placement]\nplan = "plan.json"\n')
+
+    def check() -> tuple[int, str]:
+        result = CliRunner().invoke(main, ["check", "--front", str(front)],
+                                    env={"LB_CONFIG": str(tmp_path / "config.json")})
+        return result.exit_code, result.output
+
+    assert check()[0] == 2
+    path.write_bytes(plans.write(plan({"p1": 1}, 7)))
+    code, text = check()
+    assert code == 0 and "plan 7 followed" in text
+    path.write_bytes(path.read_bytes()[:-20])
+    code, text = check()
+    assert code == 2 and "is no plan" in text and text.count("\n") == 1
