--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -149,6 +149,7 @@
         self.workers: dict[WorkerId, Worker] = {}
         self.groups: dict[Scope, list[Worker]] = {}
         self.pools: dict[tuple[Scope, int, frozenset[int] | None], Pool | None] = {}
+        self.planned = False  # draws go by a plan's weights
         self.jobs: dict[int, Job] = {}
         self.waiting: dict[int, Job] = {}  # jobs with no attempt out
         self.timers: dict[int, Job | None] = {}
@@ -211,6 +212,7 @@
             if news.kind is not ListKind.DELTA:
                 for worker in self.workers.values():
                     worker.ready = worker.ready and worker.id in listed
+            self.planned = any(worker.planned for worker in self.workers.values() if worker.ready)
             self.groups.clear()
             self.pools.clear()
         if self.settings.list_on_request and news.kind in (ListKind.FAILED, ListKind.CACHED):
@@ -264,13 +266,12 @@
             workers = [worker for worker in self._group(scope) if (kind is None or worker.kind == kind)
                        and (worker.classes is None or job.number in worker.classes)
                        and (job.fits is None or worker.interface in job.fits)]
-            planned = [worker.planned[job.number] for worker in workers if worker.planned is not None]
-            weights = planned if any(planned) else [worker.weight for worker in workers]
-            if len(planned) < len(workers) and weights is planned:
-                # One that has just come waits for its part of the plan.
-                weights = [worker.planned[job.number] if worker.planned else 0.0 for worker in workers]
-            if not any(planned) and self.settings.weights is Weights.NONE or not any(weights):
-                weights = [1.0] * len(workers)
+            # By the plan where there is one; who has just come waits for its part of it.
+            weights = [worker.planned[job.number] if worker.planned else 0.0 for worker in workers]
+            if not any(weights):
+                weights = [worker.weight for worker in workers]
+                if self.settings.weights is Weights.NONE or not any(weights):
+                    weights = [1.0] * len(workers)
             self.pools[key] = Pool(workers, weights) if workers else None
         return self.pools[key]
 
@@ -345,8 +346,7 @@
         room in a small zone is called off, which closes one."""
         group = self._may(job)[1]
         own: Scope = ("zone", self.settings.zone)
-        if group is not None or self.settings.zones < 2 or self._pool(own, job) is None or any(
-                worker.planned for worker in self._group(own)):
+        if group is not None or self.settings.zones < 2 or self._pool(own, job) is None or self.planned:
             return group  # a plan has weighed what crosses already
         near, all_ = self._pool(own, job), self._pool(None, job)
         if near and all_ and self.rng.random() * all_.sums[-1] > near.sums[-1] * self.settings.zones:
