--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -122,7 +122,7 @@
             verb.decode("latin-1"), resource.decode("latin-1"), slots=extras.get(b"slots", 1.0) or 1.0,
             memory=extras.get(b"memory", 0.0), hint=_number(hint, "X-Cost-Hint") if hint else None,
             repeat=head.get(b"x-retry", b"") == b"1",
-            tenant_name=head.get(b"x-tenant", b"").decode("latin-1"), form=form)
+            tenant_name=head.get(b"x-tenant", b"").decode("latin-1") if form is not None else "", form=form)
 
     def _envelope(self, head: dict[bytes, bytes], body: bytes) -> int:
         """The form's version. What that form has in the body is told like a header from then on; told in both
