One count of a process's CPU and of tenants' work, where each stood twice

Cause: a read of the whole change. The kernel's count of CPU stood in the laboratory and again in a benchmark, the sum of what tenants ask in the solver and in the score, the spare part of the idle time in both carriers; a time stamp in the laboratory was called by nobody.

Change: Running.cpu and peak_mb, work_by_tenant, one IDLE_SPARE; the dead function is gone. Behaviour is as it was.

--- a/benchmarks/paired.py
+++ b/benchmarks/paired.py
@@ -15,7 +15,7 @@
 
 import click
 
-from benchmarks.translation import HttpPlanner, Load, Row, used
+from benchmarks.translation import HttpPlanner, Load, Row
 from pipitshed.lab.fleet import Discovery
 from pipitshed.lab.program import scheduler
 
@@ -43,10 +43,10 @@
         for number in range(rounds + 1):
             pair = [("here", here), ("other", there)]
             for name, running in pair if number % 2 else pair[::-1]:
-                before = used(running)
+                before = running.cpu()
                 served = await Load("json").run(running.http, clients, seconds)
                 if number:  # the first round warms
-                    cost[name].append((used(running) - before) / served * 1e6)
+                    cost[name].append((running.cpu() - before) / served * 1e6)
     discovery.close()
     for server in servers:
         server.close()
--- a/benchmarks/translation.py
+++ b/benchmarks/translation.py
@@ -36,7 +36,6 @@
 FORM = ("req={}&cls=quote&member=selva-trans&wait=5&from=LIM-03&to=AQP-01&plts=4&kg=812.5&by=1800000000"
         "&frag=1&rem=by+the+north+gate")
 HEAD = [(":status", "200"), ("content-type", "application/grpc")]
-TICKS = os.sysconf("SC_CLK_TCK")
 
 
 class HttpPlanner(asyncio.Protocol):
@@ -181,11 +180,6 @@
         return self.answers[200]
 
 
-def used(running: Running) -> float:
-    stat = Path(f"/proc/{running.process.pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(stat[11]) + int(stat[12])) / TICKS
-
-
 def resident(running: Running) -> int:
     text = Path(f"/proc/{running.process.pid}/statm").read_text()
     return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
@@ -219,9 +213,9 @@
             await load.run(running.http, clients, 0.5)  # warm
         for _ in range(rounds):
             for name, (running, load) in where.items():
-                before, begun = used(running), monotonic()
+                before, begun = running.cpu(), monotonic()
                 served = await load.run(running.http, clients, seconds)
-                cpu, took = used(running) - before, monotonic() - begun
+                cpu, took = running.cpu() - before, monotonic() - begun
                 arms[name].append({"cpu_us": cpu / served * 1e6, "a_second": served / took,
                                    "on_one_core": served / cpu})
     ratios = {name: [one["cpu_us"] / base["cpu_us"]
--- a/pipitshed/egress/grpc.py
+++ b/pipitshed/egress/grpc.py
@@ -14,13 +14,11 @@
 
 from pipitshed import __version__
 from pipitshed.egress.grpc_connection import Connection, Header, Stream
+from pipitshed.egress.http import IDLE_SPARE, Address
 from pipitshed.exchange.core import Core
 from pipitshed.exchange.parties import EgressTarget, Hop
 from pipitshed.wire.grpc import timeout_text
 
-Address = tuple[str, int]
-
-IDLE_SPARE = 0.1  # part of the planner's idle time by which a connection is closed ahead of it
 _FIXED: list[Header] = [
     (b":method", b"POST"), (b":scheme", b"http"), (b":path", b"/pipitshed.planner.v2.Planner/Run"),
     (b":authority", b"service.internal"), (b"te", b"trailers"), (b"content-type", b"application/grpc+proto"),
--- a/pipitshed/lab/experiment.py
+++ b/pipitshed/lab/experiment.py
@@ -5,10 +5,8 @@
 import asyncio
 import random
 import resource
-import time
 import tomllib
 from collections.abc import Callable
-from pathlib import Path
 from time import monotonic
 from typing import Literal
 
@@ -132,14 +130,14 @@
     try:
         async with scheduler(fleet.discovery.port, plan=plan) as running:
             await asyncio.sleep(EASED if plan else SETTLE)
-            begun, before = monotonic(), _used(running)
+            begun, before = monotonic(), running.cpu()
             length = requests / traffic.rate
             script = asyncio.create_task(_script(experiment, fleet, rng, length))
             await _traffic(running, traffic, requests, rng, asked, progress)
             took = monotonic() - begun
             await script
-            cpu = _used(running)
-            memory = _peak(running)
+            cpu = running.cpu()
+            memory = running.peak_mb()
     finally:
         await fleet.close()
     figures = account(asked, fleet.record.runs, fleet.members)
@@ -212,31 +210,6 @@
         fleet.behaviour.slow = 1.0
 
 
-def _used(running: Running) -> float:
-    """CPU seconds of the scheduler so far."""
-    stat = Path(f"/proc/{running.process.pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(stat[11]) + int(stat[12])) / resource_ticks()
-
-
-def resource_ticks() -> float:
-    """Ticks a second in which the kernel counts CPU time."""
-    import os
-    return float(os.sysconf("SC_CLK_TCK"))
-
-
-def _peak(running: Running) -> float:
-    """Most memory of the scheduler so far, MB."""
-    for line in Path(f"/proc/{running.process.pid}/status").read_text().splitlines():
-        if line.startswith("VmHWM"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
-def stamp() -> str:
-    """When a run was made, for its report."""
-    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime())
-
-
 def raise_descriptors(wanted: int = 8192) -> None:
     """Stand-ins, gates and clients share this process's descriptors."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/pipitshed/lab/program.py
+++ b/pipitshed/lab/program.py
@@ -75,6 +75,18 @@
     gearman: int
     log: list[str]
 
+    def cpu(self) -> float:
+        """Seconds of CPU that the process has used so far, by the kernel's count."""
+        stat = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(stat[11]) + int(stat[12])) / os.sysconf("SC_CLK_TCK")
+
+    def peak_mb(self) -> float:
+        """The most memory that it has held so far."""
+        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            if line.startswith("VmHWM"):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
 
 @contextlib.asynccontextmanager
 async def scheduler(discovery_port: int, http: str = "127.0.0.1:0", gearman: str = "127.0.0.1:0",
--- a/pipitshed/placement/model.py
+++ b/pipitshed/placement/model.py
@@ -175,3 +175,11 @@
             max(demand.slots for demand, _ in held), max(demand.memory for demand, _ in held),
             math.fsum(one * demand.wait for demand, one in held) / rate))
     return made
+
+
+def work_by_tenant(fleet: Fleet) -> dict[str, float]:
+    """What each tenant asks for, in s of cores at speed 1 a second."""
+    asked: dict[str, float] = {}
+    for demand in fleet.demand:
+        asked[demand.tenant] = asked.get(demand.tenant, 0.0) + demand.rate * demand.work
+    return asked
--- a/pipitshed/placement/score.py
+++ b/pipitshed/placement/score.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from pipitshed.placement.model import Fleet, Group, Planner, groups
+from pipitshed.placement.model import Fleet, Group, Planner, groups, work_by_tenant
 from pipitshed.placement.solve import RESOURCES, all_cores, crossing, lateness, needs, room
 
 CLOSE = 1e-6  # by which a use may overstep its bound: rounding
@@ -112,9 +112,7 @@
             made.broken[f"{planner.id} is excluded"] = share
         if planner.pinned is not None and abs(share - planner.pinned) > slack + CLOSE:
             made.broken[f"{planner.id} is pinned"] = abs(share - planner.pinned)
-    asked: dict[str, float] = {}
-    for demand in fleet.demand:
-        asked[demand.tenant] = asked.get(demand.tenant, 0.0) + demand.rate * demand.work
+    asked = work_by_tenant(fleet)
     have = math.fsum(room(planner)["cores"] for planner in fleet.planners if not planner.excluded)
     for floor in fleet.constraints.floors:
         kept = max(0.0, floor.share * have - asked.get(floor.tenant, 0.0))
--- a/pipitshed/placement/solve.py
+++ b/pipitshed/placement/solve.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from pipitshed.placement.model import Fleet, Group, Planner, groups
+from pipitshed.placement.model import Fleet, Group, Planner, groups, work_by_tenant
 from pipitshed.placement.program import INFINITY, Program, Row, Solver, smallest_conflict
 
 EXACT_COLUMNS = 64  # up to so many parts the program is solved in whole units
@@ -251,9 +251,7 @@
 
 def _floors(made: Shape, program: Program) -> None:
     """Capacity beside the demand, so that each tenant could have its share of all work."""
-    asked: dict[str, float] = {}
-    for demand in made.fleet.demand:
-        asked[demand.tenant] = asked.get(demand.tenant, 0.0) + demand.rate * demand.work
+    asked = work_by_tenant(made.fleet)
     total = math.fsum(kind.capacity * len(kind.planners) for kind in made.kinds
                       if not kind.planners[0].excluded)
     work = made.work
