An operators' address: ready, and figures by class counted where the one answer is given

The core counts exchanges by how they ended and class, and carriers count hops whose last byte was written. Ready: listening, not ending, and a list from discovery (or 4 s after the start). Listener takes the platform's socket where LB_PASSED_SOCKET names it. conf_loaded/conf_invalid count files at SIGHUP.

--- a/pipitshed/config.py
+++ b/pipitshed/config.py
@@ -54,6 +54,7 @@
     name: str = ""
     listen: str = ""
     discovery: str = ""
+    mgmt: str = ""
     seed: str = "0"
     limits: _Limits = msgspec.field(default_factory=_Limits)
     known: Members | None = None
@@ -75,6 +76,17 @@
     zones: list[str]
     kinds: list[str]
     fields: list[str]
+    mgmt: tuple[str, int] | None = None  # the operators' address
+    passed: int | None = None  # the descriptor of a listening socket that the platform holds
+    raw: dict[str, Any] | None = None  # the file as it was read, for the next file's check
+
+
+def passed_socket(environment: Mapping[str, str]) -> int | None:
+    """The descriptor that `LB_PASSED_SOCKET` names: a number, or 3 where it names it otherwise."""
+    text = environment.get("LB_PASSED_SOCKET", "").strip()
+    if not text:
+        return None
+    return int(text) if text.isdigit() else 3
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
@@ -83,15 +95,21 @@
     if not path:
         raise ConfigError("LB_CONFIG is not set")
     try:
-        file = msgspec.json.decode(Path(path).read_bytes(), type=_File)
+        raw = msgspec.json.decode(Path(path).read_bytes())
+        if not isinstance(raw, dict):
+            raise ValueError("the file holds no object")
+        file = msgspec.convert(raw, _File)
         names = msgspec.convert(file.settings, _Names)
         listen = address_of(file.listen or environment.get("LB_LISTEN", ""))
         asked = file.discovery or environment.get("LB_DISCOVERY", "")
+        # Each process is told its own in the environment: at an upgrade, two share one file.
+        mgmt = environment.get("LB_MGMT", "") or file.mgmt
         return Config(
             file.name or environment.get("LB_NAME", ""), listen, address_of(asked) if asked else None,
             int(file.seed, 16), file.limits.sockets, file.known, settings_from(file.settings),
             [one.name for one in names.services], [one.name for one in names.tenants], names.areas,
-            names.shapes, names.stats.fields)
+            names.shapes, names.stats.fields, address_of(mgmt) if mgmt else None,
+            passed_socket(environment), raw)
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except (msgspec.MsgspecError, SettingsError, ValueError) as error:
--- a/pipitshed/egress/gearman.py
+++ b/pipitshed/egress/gearman.py
@@ -104,6 +104,7 @@
         self.running[handle], hop.link = hop, handle
         hop.ran = True
         self.link.write(pack(answer, handle, function.encode("latin-1"), *extra[answer], hop.body))
+        core.written(hop)
         if limit := self.abilities.get(function, 0.0):
             self.carrier.loop.call_later(limit, core.give_up, hop)
         core.hop_noted(hop, NoteKind.STARTED)
--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -88,6 +88,7 @@
         self._reader = Reader(self, LINE_LIMIT)
         self._transport: asyncio.Transport | None = None
         self._unwritten = False
+        self._counted = True  # the last byte of the hop it carries has been counted as written
         self.left: EgressTarget | None = None  # whose hop left this connection free, as the decisions hold
         self._status = 0
         self._told = False  # the outcome of what this connection carries has been reported
@@ -104,13 +105,21 @@
 
     def resume_writing(self) -> None:
         self._unwritten = False
+        self._count()
 
     def write(self, data: bytes) -> None:
         assert self._transport is not None
         self._told, self._unwritten = False, False
+        self._counted = self.hop is None
         self._transport.write(data)
         if self._transport.is_closing():
             self._unwritten = True  # the planner had closed it: no last byte has gone out
+        self._count()
+
+    def _count(self) -> None:
+        if not self._counted and not self._unwritten and self.hop is not None and not self._told:
+            self._counted = True
+            self._carrier.core.written(self.hop)
 
     @property
     def open(self) -> bool:
--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -13,7 +13,7 @@
 from pipitshed.decisions.interface import (
     Action, Cancel, CloseIdle, Event, Fail, FetchList, Finished, LinkLost, Log, Note, NoteKind,
     Outcome, Probe, Probed, Refuse, Send, SetTimer, Settings, Submitted, TimerFired, WatchList, Withdrawn)
-from pipitshed.decisions.rules import Dispatcher
+from pipitshed.decisions.rules import PACE_AGE, SLOW, Dispatcher
 from pipitshed.exchange.parties import Client, EgressTarget, Exchange, Hop, Refusal, Request, Translator
 from pipitshed.exchange.route_table import RouteTable
 
@@ -32,6 +32,8 @@
         self.translator: Translator | None = None  # where messages are translated
         self._untranslated: deque[Exchange] = deque()
         self.tally: Counter[str] = Counter()
+        self.ended: Counter[tuple[str, int]] = Counter()  # exchanges by how they ended, and class
+        self.sends: Counter[int] = Counter()  # hops whose last byte was written, by class
         self.on_idle: Callable[[], None] | None = None
         self.ask_list: Callable[[bool], None] = lambda watch: None  # discovery: a watch, or the whole list
         self.answer_by = math.inf  # loop time by which what is taken from now on must have its answer
@@ -183,6 +185,7 @@
             return None
         exchange.settled = True
         self.tally[how] += 1
+        self.ended[how, exchange.request.job_class] += 1
         if exchange.guard is not None:
             exchange.guard.cancel()
         self._forget(exchange)
@@ -194,6 +197,14 @@
             if not self._exchanges and self.on_idle is not None:
                 self._loop.call_soon(self.on_idle)
 
+    def avoided(self) -> int:
+        """How many ready planners the decisions pass over at present: they found no room or no connection
+        there a moment ago, or its jobs went slowly."""
+        now, dispatcher = (self._epoch + monotonic()) * 1000, self._dispatcher
+        return sum(worker.ready and (worker.shy_until > now or (
+            worker.pace > SLOW * dispatcher.pace and now - worker.pace_at < PACE_AGE))
+            for worker in dispatcher.workers.values())
+
     @property
     def busy(self) -> int:
         """How many exchanges wait for their answer."""
@@ -227,6 +238,10 @@
         hop.timer = self._loop.call_at(deadline, self.give_up, hop)
         target.carrier.carry(hop)
 
+    def written(self, hop: Hop) -> None:
+        """The carrier has written the hop's last byte."""
+        self.sends[hop.exchange.request.job_class] += 1
+
     def give_up(self, hop: Hop) -> None:
         """The time for a hop is over."""
         if not hop.over:
--- a/pipitshed/ingress/listener.py
+++ b/pipitshed/ingress/listener.py
@@ -13,12 +13,21 @@
     """Accepts connections, whatever becomes of a single accept."""
 
     def __init__(self, address: tuple[str, int], factory: Callable[[], asyncio.Protocol],
-                 loop: asyncio.AbstractEventLoop, room: Callable[[], bool] = lambda: True) -> None:
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                 loop: asyncio.AbstractEventLoop, room: Callable[[], bool] = lambda: True,
+                 passed: int | None = None) -> None:
+        """Bind to `address`, or take the listening socket that the descriptor `passed` holds."""
+        if passed is not None:
+            # Held by the platform and shared with another process: what stands in its queue is taken by
+            # whichever accepts first, and closing here ends only this process's hold of it.
+            self._socket = socket.socket(fileno=passed)
+            self.passed = True
+        else:
+            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+            self._socket = socket.socket(family, socket.SOCK_STREAM)
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._socket.bind(address)
+            self.passed = False
         self._socket.setblocking(False)
-        self._socket.bind(address)
         self._socket.listen(1024)
         self.address: tuple[str, int] = self._socket.getsockname()[:2]
         self._factory = factory
--- /dev/null
+++ b/pipitshed/mgmt/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' address: whether the process is ready, and its figures."""
--- a/pipitshed/routes/discovery.py
+++ b/pipitshed/routes/discovery.py
@@ -106,6 +106,7 @@
         self.table = table
         self.loop = loop
         self.version = 0
+        self.heard = False  # discovery itself has told a list since the start
         self._watch: _Call | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -141,6 +142,7 @@
         """Put one piece of news into the route table."""
         lines = [self.listing.line(item) for item in members.instances]
         self.version = members.generation
+        self.heard = self.heard or kind is not ListKind.CACHED
         self.table.fill(SOURCE, kind, members.generation, lines)
 
 
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -17,6 +17,8 @@
 from pipitshed.ingress.gearman import Function, GearmanFront
 from pipitshed.ingress.http import HttpFront, Reading
 from pipitshed.ingress.listener import Listener
+from pipitshed.mgmt.figures import Gauges, by_class, render
+from pipitshed.mgmt.front import MgmtFront
 from pipitshed.routes.discovery import SOURCE as DISCOVERY
 from pipitshed.routes.discovery import Discovery, Listing, Members, Names
 from pipitshed.wire.http import BODY_LIMIT
@@ -33,6 +35,7 @@
 SETTLE = 0.02  # s between looks whether all is answered
 CLIENTS_PART = 0.4  # part of the descriptors for HTTP clients' connections
 GEARMAN_PART = 0.2  # and for Gearman's; the rest is for hops
+READY_WITHOUT_LIST = 4.0  # s after the start from which the process is ready without a list from discovery
 
 log = logging.getLogger("pipitshed")
 
@@ -45,6 +48,10 @@
         self._ended = asyncio.Event()
         self._draining = False
         self._end_by = 0.0
+        self._started = loop.time()
+        self.config = config
+        self.class_names = list(config.classes)  # by class number, also of classes that a new file dropped
+        self.conf_loaded = self.conf_invalid = 0
         self.core = Core(config.settings, config.seed, loop)
         self.carrier = HttpCarrier(self.core, config.fields, loop)
         zones, kinds = Names(config.zones), Names(config.kinds)
@@ -70,12 +77,33 @@
         self.plan = self._plan(config, front) if front.plan is not None else None
         self.front = HttpFront(self.core, Reading(self.core, config.classes, config.tenants, translator),
                                int(config.sockets * CLIENTS_PART), loop)
-        self.listeners = [Listener(config.listen, self.front.connection, loop, self.front.has_room)]
+        self.listeners = [Listener(config.listen, self.front.connection, loop, self.front.has_room,
+                                   config.passed)]
         if front.listen:
             gearman = self.gearman = self._gearman(config, front, zones, kinds)
             self.listeners += [Listener(address, gearman.connection, loop, gearman.has_room)
                                for address in front.listen]
         self.front.ready = True
+        self.mgmt: MgmtFront | None = None
+        self.mgmt_listener: Listener | None = None
+        if config.mgmt is not None:
+            self.mgmt = MgmtFront(self.ready, self.figures, loop)
+            self.mgmt_listener = Listener(config.mgmt, self.mgmt.connection, loop)
+
+    def ready(self) -> bool:
+        """Whether this process is ready to serve: listening, not ending, and with a list from discovery (or
+        a while after its start without one)."""
+        listed = self.discovery is None or self.discovery.heard or (
+            self._loop.time() - self._started > READY_WITHOUT_LIST)
+        return self.front.ready and not self._draining and listed
+
+    def figures(self) -> bytes:
+        """The text of the operators' `/-/metrics`."""
+        core = self.core
+        listed = core.routes.entries()
+        workers = {entry.worker for entry in listed}
+        gauges = Gauges(core.busy, len(workers), core.avoided(), self.conf_loaded, self.conf_invalid)
+        return render(by_class(self.class_names, core.ended, core.sends), gauges)
 
     def _gearman(self, config: Config, front: Front, zones: Names, kinds: Names) -> GearmanFront:
         functions = {}
@@ -116,7 +144,9 @@
             self._loop.add_signal_handler(number, self.drain)
         self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         for listener in self.listeners:
-            log.info("listening on %s:%d", *listener.address)
+            log.info("listening on %s:%d%s", *listener.address, " (passed)" if listener.passed else "")
+        if self.mgmt_listener is not None:
+            log.info("operators' address on %s:%d", *self.mgmt_listener.address)
         await self._ended.wait()
         log.info("ended: %s", " ".join(f"{name}={count}" for name, count in sorted(self.core.tally.items())))
 
@@ -129,8 +159,10 @@
         try:
             config = load()
         except ConfigError as error:
+            self.conf_invalid += 1
             log.error("the configuration stays as it was: %s", error)
             return
+        self.conf_loaded += 1
         if self.discovery is None or config.discovery is None:
             log.warning("the configuration is read again; discovery can't be followed from or to nowhere")
             return
@@ -143,6 +175,7 @@
         if self._draining:
             return
         self._draining = True
+        log.info("ending: no longer ready; all that was taken is answered first")
         longest = max(cls.deadline for cls in self.core.settings.classes) / 1000
         self._end_by = self._loop.time() + LISTEN_ON + longest + LONGEST_END
         self.front.ready = False
