Settings read anew at SIGHUP: classes by number for good, fewer attempts, broken files refused

Change: pipitshed/tuning (no I/O) numbers a class by name and definition: a new or changed class is appended, a dropped one keeps its number and is still taken at the door for 1.2 s; the decisions keep a JobClass in each job, so jobs under way keep theirs. A file lacking a key that the file in force holds, empty, cut short, with a deadline or attempts that are not positive, is logged and counted in conf_invalid; nothing changes. A grace timer that uvloop fires early is set again.

Tests: 282 passed.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -164,12 +164,21 @@
         self.heard = [0.0] * len(settings.tenants)  # own recent jobs of each tenant, fading
         self.heard_at = 0.0
         self.list_failures, self.list_due = 0, math.inf
-        limits = settings.limits
+        self.retune(settings)
+
+    def retune(self, settings: Settings) -> None:
+        """Settings anew. Classes are only ever added, so a job under way keeps its own; what is known of
+        workers and of f stays."""
+        self.settings = settings
+        self.means += [0.0] * (len(settings.classes) - len(self.means))
+        self.heard = (self.heard + [0.0] * len(settings.tenants))[:len(settings.tenants)]
+        self.groups.clear()
+        self.pools.clear()
         self.least_worth = min(cls.worth for cls in settings.classes) or 1.0
         self.fields = {name: place for place, name in enumerate(settings.report_fields)}
         tells_room = not {"free_slots", "inflight", "queue"}.isdisjoint(self.fields)
         # Where workers tell starts, a sent job says more of a worker than its old report.
-        self.asking = (limits.probes and tells_room and not settings.tells_start
+        self.asking = (settings.limits.probes and tells_room and not settings.tells_start
                        and settings.prices.probe <= ASK_PRICE)
 
     def handle(self, now: float, events: Iterable[Event]) -> list[Action]:
--- a/pipitshed/decisions/settings.py
+++ b/pipitshed/decisions/settings.py
@@ -84,8 +84,11 @@
         return _Table({key: values[place]}, f"{family.name}[{place}]").number(key, None, low)
 
     kind = int(of_family("classKind", -1, -1))
+    deadline = table.number("deadline", None)
+    if deadline <= 0:
+        raise SettingsError(f"settings: {table.name}.deadline = {deadline} is not a positive number")
     return api.JobClass(
-        aim=table.number("goalTime", None), deadline=table.number("deadline", None),
+        aim=table.number("goalTime", None), deadline=deadline,
         worth=table.number("gain", 1.0), late_worth=table.number("lateWorth", 0.0),
         stretch=table.number("aimStretch", of_family("classStretch", 0.0, 0.0)),
         effect=table.word("repeat", _EFFECTS, "fragile"),
--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from pipitshed.decisions.interface import NoteKind, Outcome
+from pipitshed.decisions.interface import Limits, NoteKind, Outcome
 from pipitshed.exchange.core import Core
 from pipitshed.exchange.parties import EgressTarget, Hop
 from pipitshed.wire.http import BODY_LIMIT, BadAnswerError, Reader
@@ -241,6 +241,19 @@
         self._connect_timeout = limits.connect_timeout / 1000
         self._idle_for = limits.idle_close / 1000 * (1 - IDLE_SPARE)
 
+    def retune(self, limits: Limits) -> None:
+        """Limits anew: what stands idle is closed by the new time where that is sooner."""
+        self._connect_timeout = limits.connect_timeout / 1000
+        idle_for, self._idle_for = self._idle_for, limits.idle_close / 1000 * (1 - IDLE_SPARE)
+        if self._idle_for >= idle_for:
+            return
+        for connections in self._idle.values():
+            for connection in connections:
+                if connection.idle_timer is not None:
+                    due = connection.idle_timer.when() - (idle_for - self._idle_for)
+                    connection.idle_timer.cancel()
+                    connection.idle_timer = self.loop.call_at(due, connection.close)
+
     def carry(self, hop: Hop) -> None:
         connection = self._take(hop.target.address)
         if connection is not None:
--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -48,6 +48,11 @@
         self._events: list[Event] = []
         self._due = False
 
+    def retune(self, settings: Settings) -> None:
+        """Settings read anew, with every class that was ever in force, so that exchanges keep theirs."""
+        self.settings = settings
+        self._dispatcher.retune(settings)
+
     # ---- the loop
 
     def post(self, event: Event) -> None:
--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -92,7 +92,11 @@
                  forms: Forms | None = None) -> None:
         self._core = core
         self._forms = forms
-        self._classes = {name.encode(): place for place, name in enumerate(classes)}
+        self.retune({name: place for place, name in enumerate(classes)}, tenants)
+
+    def retune(self, classes: dict[str, int], tenants: Sequence[str]) -> None:
+        """The numbers of the classes that are taken from now on, and the tenants' places."""
+        self._classes = {name.encode(): place for name, place in classes.items()}
         self._tenants = {name.encode(): place for place, name in enumerate(tenants)}
 
     def request(self, verb: bytes, resource: bytes, head: dict[bytes, bytes], body: bytes) -> Request:
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import signal
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -21,6 +22,8 @@
 from pipitshed.mgmt.front import MgmtFront
 from pipitshed.routes.discovery import SOURCE as DISCOVERY
 from pipitshed.routes.discovery import Discovery, Listing, Members, Names
+from pipitshed.tuning.classes import GRACE, ClassBook
+from pipitshed.tuning.whole import lacking
 from pipitshed.wire.http import BODY_LIMIT
 
 if TYPE_CHECKING:
@@ -50,7 +53,7 @@
         self._end_by = 0.0
         self._started = loop.time()
         self.config = config
-        self.class_names = list(config.classes)  # by class number, also of classes that a new file dropped
+        self.book = ClassBook.first(config.classes, config.settings.classes)
         self.conf_loaded = self.conf_invalid = 0
         self.core = Core(config.settings, config.seed, loop)
         self.carrier = HttpCarrier(self.core, config.fields, loop)
@@ -103,7 +106,7 @@
         listed = core.routes.entries()
         workers = {entry.worker for entry in listed}
         gauges = Gauges(core.busy, len(workers), core.avoided(), self.conf_loaded, self.conf_invalid)
-        return render(by_class(self.class_names, core.ended, core.sends), gauges)
+        return render(by_class(self.book.names, core.ended, core.sends), gauges)
 
     def _gearman(self, config: Config, front: Front, zones: Names, kinds: Names) -> GearmanFront:
         functions = {}
@@ -151,24 +154,51 @@
         log.info("ended: %s", " ".join(f"{name}={count}" for name, count in sorted(self.core.tally.items())))
 
     def reload(self) -> None:
-        """Read the configuration again and follow discovery to the address it names; exchanges, hops and the
-        route table stay as they are."""
+        """Read the configuration again: new settings, and discovery followed to the address it names;
+        exchanges, hops and the route table stay as they are, and so does each exchange's class."""
         if self.plan is not None:
             self.plan.read()
         # Guards against the end of the program by a file that is half written or wrong: the old one stands.
         try:
             config = load()
+            if (missing := lacking(self.config.raw, config.raw)) is not None:
+                raise ConfigError(f"the file lacks {missing}")
         except ConfigError as error:
             self.conf_invalid += 1
             log.error("the configuration stays as it was: %s", error)
             return
         self.conf_loaded += 1
+        self._retune(config)
         if self.discovery is None or config.discovery is None:
             log.warning("the configuration is read again; discovery can't be followed from or to nowhere")
             return
         self.discovery.follow(config.discovery)
         log.info("the configuration is read again; discovery is at %s:%d", *config.discovery)
 
+    def _retune(self, config: Config) -> None:
+        """Take the settings of a file that is whole."""
+        now = self._loop.time()
+        self.book, change = self.book.retune(config.classes, config.settings.classes, now)
+        settings = replace(config.settings, classes=self.book.classes)
+        self.core.retune(settings)
+        self.carrier.retune(settings.limits)
+        self.front.reading.retune(self.book.taken(now), config.tenants)
+        if self.book.leaving:
+            self._loop.call_later(GRACE, self._door)
+        self.config = config
+        log.info("settings read anew: %s; at most %d attempts", change, settings.limits.max_attempts)
+
+    def _door(self) -> None:
+        """Classes that a file dropped are taken no more once their grace is over."""
+        now = self._loop.time()
+        taken = self.book.taken(now)
+        self.front.reading.retune(taken, self.config.tenants)
+        # Guards against a timer that fires a little early, as uvloop's may: the grace is then not over yet.
+        if pending := [until for _, until in self.book.leaving.values() if until > now]:
+            self._loop.call_later(min(pending) - now + 0.001, self._door)
+        else:
+            log.info("classes taken now: %s", ", ".join(taken))
+
     def drain(self) -> None:
         """Stop in good order: listen on while clients may still be sent here, serve those that are here a
         little longer, answer all, then end."""
--- /dev/null
+++ b/pipitshed/tuning/classes.py
@@ -0,0 +1,81 @@
+"""The classes in force, numbered for good: a file may add, change and drop them, and a job keeps its number.
+
+A class is numbered by its name and its definition. A class that a file brings anew, or changes, gets the next
+number; one that it drops keeps its number, so that jobs under way keep the class that they were taken with,
+and is still taken at the door for a grace, as clients hear of the change no sooner than of new classes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from pipitshed.decisions.interface import JobClass
+
+GRACE = 1.2  # s for which a class that a file dropped is still taken: new ones come into use so late
+
+
+@dataclass(frozen=True)
+class Change:
+    """What a file changed, by name."""
+
+    added: tuple[str, ...] = ()
+    changed: tuple[str, ...] = ()
+    dropped: tuple[str, ...] = ()
+
+    def __str__(self) -> str:
+        parts = [f"{what} {', '.join(names)}" for what, names in (
+            ("added", self.added), ("changed", self.changed), ("dropped", self.dropped)) if names]
+        return "; ".join(parts) or "classes as they were"
+
+
+@dataclass(frozen=True)
+class ClassBook:
+    """All classes ever in force since the start, by number, and the numbers that the door gives names."""
+
+    classes: tuple[JobClass, ...]
+    names: tuple[str, ...]
+    door: dict[str, int]  # the classes of the file in force
+    leaving: dict[str, tuple[int, float]] = field(default_factory=dict)  # dropped: number, taken until
+
+    @classmethod
+    def first(cls, names: Sequence[str], classes: Sequence[JobClass]) -> ClassBook:
+        return cls(tuple(classes), tuple(names), {name: place for place, name in enumerate(names)})
+
+    def number(self, name: str, now: float) -> int | None:
+        """The number of the class by this name for a job taken at `now`; None where there is none."""
+        place = self.door.get(name)
+        if place is not None:
+            return place
+        leaving = self.leaving.get(name)
+        return leaving[0] if leaving is not None and now < leaving[1] else None
+
+    def taken(self, now: float) -> dict[str, int]:
+        """Every name that the door takes at `now`, with its number."""
+        return {name: place for name, (place, until) in self.leaving.items() if now < until} | self.door
+
+    def retune(self, names: Sequence[str], classes: Sequence[JobClass], now: float,
+               grace: float = GRACE) -> tuple[ClassBook, Change]:
+        """The book after a file with these classes, read at `now`."""
+        every, called = list(self.classes), list(self.names)
+        door: dict[str, int] = {}
+        added, changed = [], []
+        for name, job_class in zip(names, classes, strict=True):
+            before = self.number(name, now)
+            same = next((place for place in range(len(every))
+                         if called[place] == name and every[place] == job_class), None)
+            if same is None:
+                same = len(every)
+                every.append(job_class)
+                called.append(name)
+            door[name] = same
+            if before is None:
+                added.append(name)
+            elif before != same:
+                changed.append(name)
+        leaving = {name: entry for name, entry in self.leaving.items() if name not in door and now < entry[1]}
+        dropped = [name for name in self.door if name not in door]
+        for name in dropped:
+            leaving[name] = (self.door[name], now + grace)
+        return (ClassBook(tuple(every), tuple(called), door, leaving),
+                Change(tuple(added), tuple(changed), tuple(dropped)))
