Room is made by connections that sent nothing or halted, before a slow usual request

Checked and ruled out: the 2.5 s for a first request (those cut off were evicted, not timed out: 45 408s in all, also at bad clients). At fault: HttpFront made room by the oldest connection without a whole request, whatever it was doing.

Change: connections without a whole request are kept in the order they were last heard from; room is made by one that has sent nothing, or nothing for a second, then by the longest idle, and only then by one still sending slowly. At the end, a request that came half and then nothing for a second gets 408, so that it does not hold the program until its longest deadline; a halted connection no longer re-arms its own close on each look (found by the story).

--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -7,6 +7,7 @@
 import re
 import zlib
 from collections import deque
+from itertools import islice
 from collections.abc import Sequence
 from typing import Protocol, cast
 from urllib.parse import unquote_plus
@@ -28,6 +29,8 @@
 LINGER_BYTES = 1024 * 1024  # of it at most
 _encode = msgspec.json.encode
 OVER = 1.5  # times the part for clients from which new ones are turned away
+QUIET = 1.0  # s without a byte after which a request begun and not whole makes room before idle clients
+LOOK = 8  # of those heard of longest ago, so many are looked at
 ID_LIMIT = 256  # characters of an id or a key
 
 _REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
@@ -157,6 +160,7 @@
         self._head_size = 0  # bytes of a head that is not whole yet; -1 in a body
         self._size = 0  # bytes of a request that is not whole yet, all told
         self._begun = False  # a request has begun to come in
+        self.heard = 0.0  # loop time of the last bytes
         self._due: asyncio.TimerHandle | None = None  # the request must be whole by then
         self._id = ""  # of the request that is open
         self._waiting: deque[Request | int] = deque()  # requests in order; a number is an answer's status
@@ -207,6 +211,12 @@
             self._due.cancel()
             self._due = None
 
+    def halted(self) -> None:
+        """Half a request came, and then nothing: it is answered 408 if nothing is owed before it."""
+        if self._exchange is None and not self._waiting and not self._last:
+            self._in_time()
+            self._too_late()
+
     def _too_late(self) -> None:
         """Guards against clients that send nothing, or half a request, and stay."""
         self._due = None
@@ -221,6 +231,9 @@
             if self._size > LINGER_BYTES:
                 self.close()
             return
+        self.heard = self._front.loop.time()
+        if self in self._front.unproven:
+            self._front.heard(self)
         # Guards against a head without end, which the parser itself would keep whole.
         if self._head_size >= 0:
             self._head_size += len(data)
@@ -303,6 +316,11 @@
 
     # ---- what goes out
 
+    @property
+    def begun(self) -> bool:
+        """Whether a request has begun to come in and is not whole yet."""
+        return self._begun
+
     @property
     def idle(self) -> bool:
         """Whether nothing is owed and no request has begun to come in."""
@@ -388,7 +406,7 @@
         self.ready = False
         self.draining = False  # each answer says that its connection closes
         self.connections: dict[_Connection, None] = {}  # the last used last
-        self.unproven: dict[_Connection, None] = {}  # no whole request has come on these; the oldest first
+        self.unproven: dict[_Connection, None] = {}  # no request was whole on these; heard longest ago first
         self.open_ids: set[str] = set()
         self._most = most
 
@@ -400,13 +418,28 @@
         """A connection is up. Where there are too many, one makes room: the oldest on which no request has
         come, so that clients that only connect never cost a usual one its own, else the longest idle. Told
         here and not when it is made: in a burst, several are made before the first is up."""
+        newcomer.heard = self.loop.time()
         self.connections[newcomer] = self.unproven[newcomer] = None
-        if len(self.connections) > self._most:
-            victim = next(iter(self.unproven))
-            if victim is newcomer:
-                victim = next((one for one in self.connections if one.idle and one is not newcomer), newcomer)
-            if victim is not newcomer:
-                victim.close()
+        if len(self.connections) > self._most and (victim := self._victim(newcomer)) is not None:
+            victim.close()
+
+    def _victim(self, newcomer: _Connection) -> _Connection | None:
+        """Who makes room, of those on which no request was whole, heard of longest ago first: one that has
+        sent nothing, or nothing for a second; else the longest idle; else one that still sends its first
+        request slowly. Usual clients that write a request in pieces over two seconds keep their connections,
+        while others only hold theirs."""
+        now, unproven = self.loop.time(), self.unproven
+        for one in islice(unproven, LOOK):
+            if one is not newcomer and (not one.begun or now - one.heard >= QUIET):
+                return one
+        idle = next((one for one in self.connections if one.idle and one not in unproven), None)
+        first = next(iter(unproven))
+        return idle or (first if first is not newcomer else None)
+
+    def heard(self, connection: _Connection) -> None:
+        """Bytes have come on a connection on which no request was whole yet: it makes room after others."""
+        del self.unproven[connection]
+        self.unproven[connection] = None
 
     def has_room(self) -> bool:
         """Whether hops and discovery would keep the descriptors they need; busy clients make no room."""
@@ -418,6 +451,11 @@
             self.connections[connection] = None
 
     def close_idle(self) -> None:
+        """Close what is idle, and end requests that have come in part and then nothing for a while: at the
+        end, a client that halted half way would hold the program until SIGKILL."""
+        now = self.loop.time()
         for connection in list(self.connections):
             if connection.idle:
                 connection.close()
+            elif connection.begun and now - connection.heard >= QUIET:
+                connection.halted()
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -365,3 +365,47 @@
             await client.writer.drain()
         assert (await client.answer())[::2] == (200, b"plan of pallets")
         assert planner.runs[0].headers["x-request-id"] == "a1"
+
+
+@story
+async def test_a_slow_usual_request_keeps_its_connection_while_halted_ones_make_room() -> None:
+    """Guards against room made by the oldest connection that has not sent a whole request, whatever it does:
+    a usual client that writes its request over two seconds lost it to a crowd, while those that halted half
+    way stayed."""
+    async with Planner("p1") as planner, program(planner, sockets=40) as running:
+        slow = await HttpClient.to(running.port)
+        text = (b"POST /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: s1\r\nX-Class: quote\r\n"
+                b"X-Tenant: andes-retail\r\nX-Deadline: 5.000\r\nContent-Length: 7\r\n\r\npallets")
+        halted = [await HttpClient.to(running.port) for _ in range(15)]
+        for client in halted:
+            client.writer.write(b"POST /api HTTP/1.1\r\nHost: service.internal\r\nX-Req")
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        pieces = [text[place:place + 12] for place in range(0, len(text), 12)]
+        crowd: list[HttpClient] = []
+        for piece in pieces:
+            slow.writer.write(piece)
+            await asyncio.sleep(1.8 / len(pieces))  # the client's own pace: two seconds for the request
+            if not crowd and loop.time() - begun > 1.1:  # the halted have been quiet for a second
+                crowd = [await HttpClient.to(running.port) for _ in range(15)]
+        assert (await slow.answer())[::2] == (200, b"plan of pallets")
+        for client in halted:
+            assert await client.reader.read() == b""
+        assert len(crowd) == 15
+
+
+@story
+async def test_a_client_that_halted_half_way_does_not_hold_the_end() -> None:
+    """Guards against an end held until SIGKILL: after SIGTERM the program waited for every connection on
+    which a request had begun, up to the longest deadline, also for one that sent nothing more."""
+    async with Planner("p1") as planner, program(planner) as running:
+        client = await HttpClient.to(running.port)
+        client.ask("a1")
+        assert (await client.answer())[0] == 200
+        client.writer.write(b"POST /api HTTP/1.1\r\nHost: service.internal\r\nX-Requ")
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        running.process.send_signal(signal.SIGTERM)
+        assert (await client.answer())[0] == 408
+        await running.logged("ended:")
+        assert loop.time() - begun < 6.0  # the longest deadline is 15 s
