Stories of an upgrade on a passed socket: the second process takes over, nothing is refused

Change: tests/test_upgrade.py hands one listening socket to two processes by LB_PASSED_SOCKET, plays one job per new connection and one kept connection while the second says yes and the first gets SIGTERM, and asks that every answer is 200, that the first exits 0 and that the second stays ready; a second story binds where no socket is passed.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -211,7 +211,7 @@
                 while "listening" not in running.log[-1]:
                     running.log.append((await process.stdout.readline()).decode())  # type: ignore[union-attr]
                     assert running.log[-1].startswith("INFO"), running.log[-1]
-                port = int(running.log[-1].rpartition(":")[2])
+                port = int(running.log[-1].rpartition(":")[2].split()[0])
                 running.port, running.gearman_port = (port, 0) if place == 0 else (running.port, port)
             if mgmt:
                 await running.logged("operators' address on")
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,74 @@
+"""An upgrade: a second process on the listening socket that the platform holds, then SIGTERM to the first.
+Nothing is refused, reset or left unread on the way."""
+
+import asyncio
+import signal
+import socket
+
+from loopback import Catalog, HttpClient, Planner, call, program, story
+
+READY = b"GET /-/ready HTTP/1.1\r\nHost: mgmt\r\n\r\n"
+
+
+async def _ready(port: int) -> None:
+    """Ask until the process says yes, as the platform does."""
+    while (await call(port, READY))[0] != 200:
+        await asyncio.sleep(0.05)
+
+
+@story
+async def test_a_new_process_takes_over_the_passed_socket_and_nothing_is_refused() -> None:
+    held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)  # the platform's
+    held.bind(("127.0.0.1", 0))
+    held.listen(64)
+    port, number = held.getsockname()[1], held.fileno()
+    passed = {"env": {"LB_PASSED_SOCKET": str(number)}, "pass_fds": (number,), "mgmt": True}
+    statuses: list[int] = []
+    keep_going = asyncio.Event()
+
+    async def traffic() -> None:
+        """One job on each new connection, one after another, and one kept connection beside them."""
+        kept = await HttpClient.to(port)
+        count = 0
+        while not keep_going.is_set():
+            count += 1
+            fresh = await HttpClient.to(port)
+            fresh.ask(f"n{count}")
+            statuses.append((await fresh.answer())[0])
+            fresh.writer.close()
+            kept.ask(f"k{count}")
+            status, headers, _ = await kept.answer()
+            statuses.append(status)
+            if headers.get("connection") == "close":
+                kept = await HttpClient.to(port)
+
+    async with (Planner("p1") as planner, Catalog(planner) as catalog,
+                program(catalog=catalog, **passed) as old):  # type: ignore[arg-type]
+        assert old.port == port
+        await _ready(old.mgmt_port)
+        load = asyncio.create_task(traffic())
+        async with program(catalog=catalog, **passed) as new:  # type: ignore[arg-type]
+            assert new.port == port and new.mgmt_port != old.mgmt_port
+            await _ready(new.mgmt_port)
+            served_before = len(statuses)
+            old.process.send_signal(signal.SIGTERM)
+            assert await old.process.wait() == 0
+            old.log.append((await old.process.stdout.read()).decode())  # type: ignore[union-attr]
+            assert "ended:" in "".join(old.log)
+            taken_after = len(statuses)
+            while len(statuses) < taken_after + 10:
+                await asyncio.sleep(0.05)
+            keep_going.set()
+            await load
+            assert served_before > 0 and set(statuses) == {200}, statuses
+            assert (await call(new.mgmt_port, READY))[0] == 200
+    held.close()
+
+
+@story
+async def test_without_a_passed_socket_the_program_binds_its_address() -> None:
+    async with Planner("p1") as planner, program(planner, mgmt=True) as running:
+        assert running.port != 0 and "(passed)" not in "".join(running.log)
+        client = await HttpClient.to(running.port)
+        client.ask("a1")
+        assert (await client.answer())[0] == 200
