Failed list calls back off up to 16 times their first wait; a trace for fleet counts

Answered calls came about 110 ms apart: discovery serves calls in turn and turns them down while its short queue is full. From 15 s on, the 34 schedulers that never got a watch again refused 5009 of 6722 requests and failed 3652 connects to planners that had left; the 6 that heard news refused 47 of 273.

Cause: rules.py `_list_news` asked again within 0.05 to 0.2 of askWithin after each failure (cap 2 ** 2). Harmless alone, but 40 siblings asking every 0.25 to 2 s keep an overbooked discovery full.

Also: LB_TRACE names a file (or -) that gets one line per event and action of the decisions and the settings at the start; off by default, one test when off.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -225,9 +225,10 @@
             self.groups.clear()
             self.pools.clear()
         if self.settings.list_on_request and news.kind in (ListKind.FAILED, ListKind.CACHED):
-            # The list has a fixed capacity for all: calls are spread, and back off after failures.
-            # Two calls that fail in a row must not outlast the time after which news counts as told.
-            wait = self.settings.rules.ask_within * 0.05 * 2 ** min(max(0, self.list_failures - 1), 2)
+            # Discovery serves all siblings in turn, and turns calls down while its short queue is full.
+            # Failed calls back off far enough for it to drain when all siblings ask, and no further than a
+            # failed call leaves before news counts as told unasked (four times the time between calls).
+            wait = self.settings.rules.ask_within * 0.05 * 2 ** min(max(0, self.list_failures - 1), 4)
             self._ask_list_in(wait * self.rng.uniform(0.1, 1.0))
         elif news.kind is not ListKind.FAILED:
             self.list_failures = 0
--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -16,6 +16,7 @@
 from pipitshed.decisions.rules import PACE_AGE, SLOW, Dispatcher
 from pipitshed.exchange.parties import Client, EgressTarget, Exchange, Hop, Refusal, Request, Translator
 from pipitshed.exchange.route_table import RouteTable
+from pipitshed.exchange.trace import Trace
 
 MARGIN_MS = 30.0  # the final answer is out so long before the client gives up
 GUARD_MS = 10.0  # after the decisions' own deadline; still before the client's
@@ -47,6 +48,7 @@
         self._numbers = 0
         self._events: list[Event] = []
         self._due = False
+        self.trace: Trace | None = None  # off but where LB_TRACE asks for it
 
     def retune(self, settings: Settings) -> None:
         """Settings read anew, with every class that was ever in force, so that exchanges keep theirs."""
@@ -66,7 +68,10 @@
         self._due = False
         events, self._events = self._events, []
         now = (self._epoch + monotonic()) * 1000
-        for action in self._dispatcher.handle(now, events):
+        actions = self._dispatcher.handle(now, events)
+        if self.trace is not None:
+            self.trace.turn(now, events, actions)
+        for action in actions:
             self._carry_out(action)
 
     def _carry_out(self, action: Action) -> None:
--- /dev/null
+++ b/pipitshed/exchange/trace.py
@@ -0,0 +1,71 @@
+"""A trace of what the decisions are told and what they do, one line each, for counting across a fleet.
+
+It is off unless `LB_TRACE` names a file (or `-` for the standard error). Timers are left out: they are many
+and say nothing that the events after them do not."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import sys
+from collections.abc import Iterable
+from typing import IO, Any
+
+import msgspec
+
+from pipitshed.decisions.interface import Entry, ListNews, SetTimer, TimerFired
+
+QUIET = (SetTimer, TimerFired)
+
+
+def _value(value: Any) -> str:
+    if isinstance(value, bytes):
+        return value.decode("latin-1")
+    if isinstance(value, enum.Enum):
+        return value.name
+    if isinstance(value, float):
+        return f"{value:.1f}"
+    if isinstance(value, Entry):
+        return f"{_value(value.worker)}:{value.state.name}:{value.zone}:{value.started_at:.0f}"
+    if isinstance(value, tuple | list):
+        return ",".join(_value(one) for one in value)
+    return str(value)
+
+
+def line(now: float, way: str, item: object) -> str:
+    """`now way Kind name=value ...`; fields that are empty or None are left out."""
+    parts = [f"{now:.1f}", way, type(item).__name__]
+    if dataclasses.is_dataclass(item):
+        for one in dataclasses.fields(item):
+            value = getattr(item, one.name)
+            if value is None or value == () or (isinstance(value, ListNews) and not value.entries):
+                continue
+            parts.append(f"{one.name}={_value(value)}")
+    return " ".join(parts)
+
+
+class Trace:
+    """Writes the lines of one turn of the loop."""
+
+    def __init__(self, out: IO[str]) -> None:
+        self._out = out
+
+    @classmethod
+    def named(cls, name: str) -> Trace:
+        return cls(sys.stderr if name == "-" else open(name, "a", buffering=1 << 16))  # noqa: SIM115
+
+    def settings(self, told: object) -> None:
+        """The settings as the configuration gave them, first."""
+        self._out.write(f"settings {msgspec.json.encode(told).decode()}\n")
+
+    def turn(self, now: float, events: Iterable[object], actions: Iterable[object]) -> None:
+        write = self._out.write
+        for event in events:
+            if not isinstance(event, QUIET):
+                write(line(now, "<", event) + "\n")
+        for action in actions:
+            if not isinstance(action, QUIET):
+                write(line(now, ">", action) + "\n")
+
+    def close(self) -> None:
+        self._out.flush()
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import logging
+import os
 import signal
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
 from pipitshed.egress.gearman import GearmanCarrier, Place
 from pipitshed.egress.http import HttpCarrier
 from pipitshed.exchange.core import Core
+from pipitshed.exchange.trace import Trace
 from pipitshed.ingress.gearman import Function, GearmanFront
 from pipitshed.ingress.http import HttpFront, Reading
 from pipitshed.ingress.listener import Listener
@@ -56,6 +58,9 @@
         self.book = ClassBook.first(config.classes, config.settings.classes)
         self.conf_loaded = self.conf_invalid = 0
         self.core = Core(config.settings, config.seed, loop)
+        if trace := os.environ.get("LB_TRACE", ""):
+            self.core.trace = Trace.named(trace)
+            self.core.trace.settings((config.raw or {}).get("settings"))
         self.carrier = HttpCarrier(self.core, config.fields, loop)
         zones, kinds = Names(config.zones), Names(config.kinds)
         self.translation = self._translation(config, front) if front.translation is not None else None
