A planner that fails jobs fast is passed over, longer with each error

Cause: rules.py `_finished` took an ERROR as nothing but a free connection (`worker.idle += 1`); `_draw` prefers workers with an idle connection where handshakes are dear, so the failing one won the next draw, in every scheduler at once; the start note's `_room` cleared the strikes, so nothing was learnt.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -47,6 +47,7 @@
 SLOTS = 4.0  # of a worker, as a guess, of which own started jobs take some
 SHY_MS = 300.0  # a worker that had no room is passed over this long; doubles with each repeat
 SHY_DOUBLINGS = 5  # at most, so that a suspect worker is tried again by real jobs within seconds
+GOLDEN = 0.6180339887  # spreads by the job's number, evenly, what needs no draw from the generator
 ASK_TICKS = 2.0  # ticks to wait for the answers of asked workers before asking more
 ASK_WIDTH = 2  # drawn workers asked at once for one job; it goes to the one with most room
 REPORT_LAG = 600.0  # ms for which own sends may be missing from a worker's reports
@@ -64,7 +65,7 @@
     """What this dispatcher knows of one worker."""
 
     __slots__ = ("id", "zone", "cell", "kind", "weight", "started_at", "ready", "unstarted", "shy_until",
-                 "strikes", "asked", "room", "room_at", "lent", "lent_at",
+                 "strikes", "failing", "asked", "room", "room_at", "lent", "lent_at",
                  "idle", "idle_at", "pace", "pace_at", "held", "classes", "interface",
                  "planned")
 
@@ -78,7 +79,7 @@
         self.unstarted = 0  # own jobs sent there that have not started
         self.held = 0.0  # slots that own started jobs hold
         self.shy_until = 0.0  # passed over until then
-        self.strikes = 0
+        self.strikes = self.failing = 0  # no room found in a row; errors, halved by each served job
         self.asked = False  # a probe is out
         self.room, self.room_at = 1.0, -math.inf  # free slots, less what waits, by its last report
         self.lent, self.lent_at = 0.0, -math.inf  # slots taken by own recent sends
@@ -337,11 +338,9 @@
         return worker.started_at > 0 and self.now - worker.started_at < self.settings.rules.cold
 
     def _cold_turn(self, worker: Worker, job: Job) -> bool:
-        """A cold worker is taken with the chance of what it can do by now, and only at a job's first draw:
-        all siblings together then send it what a warm one bears, times that part. What warm
-        workers cannot serve is not sent on to it, and no redraws, which pile up on newcomers, as they look
-        idle. A heavy job goes there more rarely: one alone can be more than a cold worker does in the time
-        that counts."""
+        """A cold worker is taken with the chance of what it can do by now, at a job's first draw alone: all
+        siblings together send it what a warm one bears times that part, and no redraws, which pile up on
+        newcomers as they look idle. A heavy job goes there more rarely."""
         rules = self.settings.rules
         age = max(0.0, self.now - worker.started_at)
         part = rules.cold_from + (1 - rules.cold_from) * age / rules.cold
@@ -350,10 +349,8 @@
         return self.rng.random() * max(1.0, heavy) < part * taken
 
     def _scope(self, job: Job) -> Scope:
-        """Its group where it may have run, else the own zone first, then anywhere. The dearer a crossing, the
-        more tries the own zone gets, and the fuller it must be before first tries spill over as well. Where
-        connections are dear they go anywhere: those kept bear the crossings, and an attempt that finds no
-        room in a small zone is called off, which closes one."""
+        """Its group where it may have run, else the own zone first, then anywhere: the dearer a crossing, the
+        more tries the own zone gets; where connections are dear, kept ones bear the crossings."""
         group = self._may(job)[1]
         own: Scope = ("zone", self.settings.zone)
         if group is not None or self.settings.zones < 2 or self._pool(own, job) is None or self.planned:
@@ -655,6 +652,12 @@
             if not attempt.counted:
                 self._no_room(worker, event.outcome is Outcome.FULL)
             job.failures += 1
+        elif event.outcome is Outcome.ERROR:
+            # Guards against a worker that fails jobs fast: its connections come free at once and it drew
+            # them to itself. It is passed over, longer with each error until it serves some; f is untouched.
+            worker.failing += 1
+            spell = SHY_MS * 2 ** min(worker.failing, SHY_DOUBLINGS) * (0.5 + job.id * GOLDEN % 1.0)
+            worker.shy_until = max(worker.shy_until, self.now + spell)
         elif event.outcome is Outcome.RESET:
             # Guards against a job given up because a kept connection was stale or a worker died:
             # that says nothing of room, and f, which counts room alone, would allow no second attempt.
@@ -666,6 +669,7 @@
             self.worth += MEAN_SMOOTHING * (job.cls.worth - self.worth)
             self.value = self.worth / (1.0 if self.settings.worth_by_work else self.mean or 1.0)
             self._paced(job, attempt, 1.0)
+            worker.failing //= 2  # one served job says less than a run of errors
             if not attempt.counted:
                 self._room(worker)
         if event.settled and not job.over:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -36,6 +36,7 @@
     WatchList,
     Weights,
 )
+from pipitshed.decisions.interface import WorkerId as WorkerIdType
 from pipitshed.decisions.rules import REFUSE_ABOVE, WINDOW
 
 
@@ -443,3 +444,36 @@
     bench.finish(first, 0, Outcome.CANCELLED)
     bench.finish(second, 1, Outcome.RESET, settled=True)
     assert bench.dispatcher.jobs == {}
+
+
+def test_a_worker_that_fails_jobs_fast_draws_no_more_than_its_share_and_its_jobs_go_elsewhere() -> None:
+    """Guards against a worker that starts every job and fails it at once: its connection came free at
+    once, so draws that prefer kept connections sent it twice its share, and each of its jobs was lost."""
+    workers = tuple(replace(entry, zone=0) for entry in entries(6))
+    bench = Bench(settings(zones=1, tells_start=True, prices=Prices(handshake=0.12)), workers)
+    sick = worker_id(2)
+    sent: Counter[WorkerIdType] = Counter()
+    tries: Counter[int] = Counter()
+    busy: list[tuple[float, Send, int]] = []
+
+    def carry(actions: list[object]) -> None:
+        for send in [action for action in actions if isinstance(action, Send)]:
+            attempt, tries[send.job] = tries[send.job], tries[send.job] + 1
+            sent[send.worker] += 1
+            carry(bench.feed(Note(send.job, attempt, send.worker, NoteKind.STARTED)))
+            if send.worker == sick:
+                carry(bench.finish(send, attempt, Outcome.ERROR, settled=False))
+            else:
+                busy.append((bench.now + 250.0, send, attempt))
+
+    for job in range(1, 601):
+        carry(bench.feed(Submitted(job, 4000.0)))
+        for _ in range(4):
+            carry(bench.run(bench.now + 5.0))
+            for item in [item for item in busy if item[0] <= bench.now]:
+                busy.remove(item)
+                carry(bench.finish(item[1], item[2], Outcome.OK))
+    lost = sum(isinstance(action, Refuse | Fail) for action in bench.log)
+    assert sent[sick] < 0.5 * sum(sent.values()) / len(workers)
+    assert lost < 6
+    assert bench.checker.faults == []
