--- a/pipitshed/config.py
+++ b/pipitshed/config.py
@@ -79,6 +79,7 @@
     mgmt: tuple[str, int] | None = None  # the operators' address
     passed: int | None = None  # the descriptor of a listening socket that the platform holds
     raw: dict[str, Any] | None = None  # the file as it was read, for the next file's check
+    trace: str = ""  # LB_TRACE: where the decisions' trace goes, `-` for the standard error; none where empty
 
 
 def passed_socket(environment: Mapping[str, str]) -> int | None:
@@ -109,7 +110,7 @@
             int(file.seed, 16), file.limits.sockets, file.known, settings_from(file.settings),
             [one.name for one in names.services], [one.name for one in names.tenants], names.areas,
             names.shapes, names.stats.fields, address_of(mgmt) if mgmt else None,
-            passed_socket(environment), raw)
+            passed_socket(environment), raw, environment.get("LB_TRACE", ""))
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except (msgspec.MsgspecError, SettingsError, ValueError) as error:
--- a/pipitshed/exchange/trace.py
+++ b/pipitshed/exchange/trace.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from pipitshed.decisions.interface import Entry, ListNews, SetTimer, TimerFired
+from pipitshed.decisions.interface import Entry, SetTimer, TimerFired
 
 QUIET = (SetTimer, TimerFired)
 
@@ -38,7 +38,7 @@
     if dataclasses.is_dataclass(item):
         for one in dataclasses.fields(item):
             value = getattr(item, one.name)
-            if value is None or value == () or (isinstance(value, ListNews) and not value.entries):
+            if value is None or value == ():
                 continue
             parts.append(f"{one.name}={_value(value)}")
     return " ".join(parts)
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -5,7 +5,6 @@
 import asyncio
 import gc
 import logging
-import os
 import signal
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -58,8 +57,8 @@
         self.book = ClassBook.first(config.classes, config.settings.classes)
         self.conf_loaded = self.conf_invalid = 0
         self.core = Core(config.settings, config.seed, loop)
-        if trace := os.environ.get("LB_TRACE", ""):
-            self.core.trace = Trace.named(trace)
+        if config.trace:
+            self.core.trace = Trace.named(config.trace)
             self.core.trace.settings((config.raw or {}).get("settings"))
         self.carrier = HttpCarrier(self.core, config.fields, loop)
         zones, kinds = Names(config.zones), Names(config.kinds)
@@ -247,6 +246,8 @@
         if self.gearman is not None:
             self.gearman.close()
         self.carrier.close()
+        if self.core.trace is not None:
+            self.core.trace.close()
         if self.translation is not None:
             self.translation.close()
         self._loop.call_later(SETTLE, self._ended.set)
