--- a/pipitshed/cli.py
+++ b/pipitshed/cli.py
@@ -13,14 +13,15 @@
 from pipitshed.scheduler import serve as run_scheduler
 
 
-front_option = click.option("--front", type=click.Path(path_type=Path), default=Path("deploy/front.toml"),
-                            show_default=True, help="The file that says where the Gearman front listens.")
+front_option = click.option("--front", type=click.Path(path_type=Path, exists=True, dir_okay=False),
+                            help="The file that asks for more than the platform's own: Gearman, DNS-SD, "
+                                 "translation, a plan. Without it none of them is on.")
 
 
-def _load(front: Path) -> tuple[Config, Front]:
+def _load(front: Path | None) -> tuple[Config, Front]:
     try:
         config = load()
-        return config, load_front(front, config.classes)
+        return config, load_front(front, config)
     except ConfigError as error:
         click.echo(f"pipitshed: {error}", err=True)
         sys.exit(2)
@@ -70,7 +71,7 @@
 
 @main.command()
 @front_option
-def serve(front: Path) -> None:
+def serve(front: Path | None) -> None:
     """Serve as LB_CONFIG and the front file say, until SIGTERM."""
     config, asked = _load(front)
     try:
@@ -82,7 +83,7 @@
 
 @main.command()
 @front_option
-def check(front: Path) -> None:
+def check(front: Path | None) -> None:
     """Read the configuration and the front file, and say what they ask for."""
     config, asked = _load(front)
     plan = _number(asked.plan) if asked.plan is not None else ""
--- a/pipitshed/config.py
+++ b/pipitshed/config.py
@@ -15,7 +15,7 @@
 from pipitshed.decisions.interface import Settings
 from pipitshed.decisions.settings import SettingsError, settings_from
 from pipitshed.routes.discovery import Members, address_of
-
+from pipitshed.wire.toml import line_at
 
 if TYPE_CHECKING:
     from pipitshed.translation.file import TranslationFile
@@ -188,24 +188,47 @@
     plan: Path | None = None
 
 
-def load_front(path: Path, classes: list[str]) -> Front:
-    """Read the front file; ConfigError where it can't be used. No file asks for nothing."""
+def _misfit(file: FrontFile, config: Config) -> tuple[tuple[str, ...], str] | None:
+    """The first key of the front file that doesn't fit the settings, and why; None where all of them do."""
+    table = ("gearman", "functions")
+    for name, function in file.gearman.functions.items():
+        if function.job_class not in config.classes:
+            return (*table, name, "class"), _unknown("class", function.job_class, config.classes)
+        if function.tenant and function.tenant not in config.tenants:
+            return (*table, name, "tenant"), _unknown("tenant", function.tenant, config.tenants)
+        if function.patience_s is not None and not 0 < function.patience_s < math.inf:
+            return (*table, name, "patience-s"), f"{function.patience_s} is not a time above 0"
+    workers = file.gearman.workers
+    for key, value, known in (("zone", workers.zone, config.zones), ("kind", workers.kind, config.kinds)):
+        if value and value not in known:
+            return ("gearman", "workers", key), _unknown(key, value, known)
+    if file.gearman.listen and not file.gearman.functions:
+        return ("gearman", "listen"), "gearman listens, but has no functions"
+    return None
+
+
+def _unknown(what: str, name: str, known: list[str]) -> str:
+    return f"the settings have no {what} {name!r} ({', '.join(known) or 'none at all'})"
+
+
+def load_front(path: Path | None, config: Config) -> Front:
+    """Read the front file; ConfigError where it can't be used, with line and key where it doesn't fit the
+    settings. Where none is asked for, nothing is on: a file that lies at some place turns nothing on."""
+    if path is None:
+        return Front([], {}, _Workers(), None, "")
     try:
-        file = msgspec.convert(tomllib.loads(path.read_text()), FrontFile) if path.exists() else FrontFile()
-        for name, function in file.gearman.functions.items():
-            if function.job_class not in classes:
-                raise ConfigError(f"{path}: function {name}: no class {function.job_class!r}")
-            if function.patience_s is not None and not 0 < function.patience_s < math.inf:
-                raise ConfigError(f"{path}: function {name}: patience-s = {function.patience_s}")
-        if file.gearman.listen and not file.gearman.functions:
-            raise ConfigError(f"{path}: gearman listens, but has no functions")
+        text = path.read_text()
+        file = msgspec.convert(tomllib.loads(text), FrontFile)
+        if misfit := _misfit(file, config):
+            keys, why = misfit
+            raise ConfigError(f"{path}:{line_at(text, *keys)}: {'.'.join(keys)}: {why}")
         return Front(
             [address_of(text) for text in file.gearman.listen],
             {name: (one.job_class, one.tenant, math.inf if one.patience_s is None else one.patience_s * 1000,
                     one.form)
              for name, one in file.gearman.functions.items()},
             file.gearman.workers, address_of(file.dns_sd.server) if file.dns_sd else None,
-            file.dns_sd.service if file.dns_sd else "", _translation(path, file, classes),
+            file.dns_sd.service if file.dns_sd else "", _translation(path, file, config.classes),
             path.parent / file.placement.plan if file.placement else None)
     except ConfigError:
         raise
--- a/pipitshed/wire/toml.py
+++ b/pipitshed/wire/toml.py
@@ -8,9 +8,14 @@
 _KEY = re.compile(r"\s*((?:\"[^\"]+\"|[\w-]+)(?:\.(?:\"[^\"]+\"|[\w-]+))*)\s*=")
 
 
+def line_at(text: str, *path: str) -> int:
+    """The line on which the deepest part of a place outside of lists of tables stands. 1 where nothing is."""
+    return line_of(text, path[0], -1, *path[1:])
+
+
 def line_of(text: str, list_name: str, index: int, *path: str) -> int:
     """The line on which the deepest part of a place stands that the text has: item `index` of a list of
-    tables, then keys. 1 where nothing is found."""
+    tables (-1: a table by itself), then keys. 1 where nothing is found."""
     best, depth, count = 1, -1, -1
     here: list[str] = []
     for number, line in enumerate(text.splitlines(), 1):
