Asking workers for their load before a send is removed

What was looked at: asking was used where workers may be probed and tell no starts, which neither deployment has; DESIGN knows no probes.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -16,7 +16,7 @@
 
 from pipitshed.decisions.interface import (
     Action, Cancel, Effect, Entry, Event, Fail, Finished, FirstByte, Group, JobClass, LinkLost, ListKind,
-    ListMoved, ListNews, Note, NoteKind, Outcome, Probe, Probed, Refuse, Send, SetTimer, Settings, State,
+    ListMoved, ListNews, Note, NoteKind, Outcome, Refuse, Send, SetTimer, Settings, State,
     Submitted, TimerFired, WatchList, Weights, Withdrawn, WorkerId)
 
 WINDOW = 30  # attempts in the estimate of f; the paper's figure
@@ -48,11 +48,7 @@
 SHY_MS = 300.0  # a worker that had no room is passed over this long; doubles with each repeat
 SHY_DOUBLINGS = 5  # at most, so that a suspect worker is tried again by real jobs within seconds
 GOLDEN = 0.6180339887  # spreads by the job's number, evenly, what needs no draw from the generator
-ASK_TICKS = 2.0  # ticks to wait for the answers of asked workers before asking more
-ASK_WIDTH = 2  # drawn workers asked at once for one job; it goes to the one with most room
 REPORT_LAG = 600.0  # ms for which own sends may be missing from a worker's reports
-HOLD_PART = 0.5  # part of the aim a job waits in a busy fleet for a worker without a queue
-ASK_PRICE = 0.01  # dearest price of a probe a job at which asking first is worth it
 DEAR_HANDSHAKE = 0.02  # price from which workers without an idle connection are passed over
 MOVED_SPREAD = 0.01  # part of the time within which the list must be asked for, to ask it where it moved
 LIVE_SMOOTHING = 0.1  # weight of a new live list weight: live weights fold in load and lag
@@ -65,9 +61,8 @@
     """What this dispatcher knows of one worker."""
 
     __slots__ = ("id", "zone", "cell", "kind", "weight", "started_at", "ready", "unstarted", "shy_until",
-                 "strikes", "failing", "asked", "room", "room_at", "lent", "lent_at",
-                 "idle", "idle_at", "pace", "pace_at", "held", "classes", "interface",
-                 "planned")
+                 "strikes", "failing", "room", "room_at", "lent", "lent_at", "idle", "idle_at", "pace",
+                 "pace_at", "held", "classes", "interface", "planned")
 
     def __init__(self, entry: Entry) -> None:
         self.id = entry.worker
@@ -80,7 +75,6 @@
         self.held = 0.0  # slots that own started jobs hold
         self.shy_until = 0.0  # passed over until then
         self.strikes = self.failing = 0  # no room found in a row; errors, halved by each served job
-        self.asked = False  # a probe is out
         self.room, self.room_at = 1.0, -math.inf  # free slots, less what waits, by its last report
         self.lent, self.lent_at = 0.0, -math.inf  # slots taken by own recent sends
         self.pace, self.pace_at = 0.0, -math.inf  # time a unit of work takes it, and when that was seen
@@ -103,9 +97,8 @@
 class Job:
     """One client's job until its final answer and its last outcome."""
 
-    __slots__ = ("id", "cls", "number", "deadline", "came", "attempts", "over", "stream", "resume", "asks",
-                 "ask_round", "ask_until", "offer", "failures", "slots", "unsure", "work", "wake", "promised",
-                 "broken", "fits")
+    __slots__ = ("id", "cls", "number", "deadline", "came", "attempts", "over", "stream", "resume",
+                 "failures", "slots", "unsure", "work", "wake", "promised", "broken", "fits")
 
     def __init__(self, event: Submitted, cls: JobClass, now: float) -> None:
         self.id, self.cls, self.number, self.came = event.job, cls, event.job_class, now
@@ -113,9 +106,7 @@
         self.attempts: list[Attempt] = []
         self.over = self.stream = False
         self.resume = now
-        self.asks: list[Worker] = []
-        self.offer: Worker | None = None  # of the asked workers the one with most room
-        self.ask_round, self.ask_until, self.failures = 0, now, 0
+        self.failures = 0
         self.promised = 0  # attempts that it gets whatever becomes of f: one was called off for the next
         self.broken = 0  # attempts whose connection broke
         self.fits = event.fits  # the interfaces that can express it; None for all
@@ -177,10 +168,6 @@
         self.pools.clear()
         self.least_worth = min(cls.worth for cls in settings.classes) or 1.0
         self.fields = {name: place for place, name in enumerate(settings.report_fields)}
-        tells_room = not {"free_slots", "inflight", "queue"}.isdisjoint(self.fields)
-        # Where workers tell starts, a sent job says more of a worker than its old report.
-        self.asking = (settings.limits.probes and tells_room and not settings.tells_start
-                       and settings.prices.probe <= ASK_PRICE)
 
     def handle(self, now: float, events: Iterable[Event]) -> list[Action]:
         """Take what has come in at `now`; the actions happen at the same time."""
@@ -193,8 +180,6 @@
                 self._submitted(event)
             elif isinstance(event, TimerFired):
                 self._timer(event.token)
-            elif isinstance(event, Probed):
-                self._probed(event)
             elif isinstance(event, Note):
                 self._note(event)
             elif isinstance(event, ListNews):
@@ -295,7 +280,7 @@
             return None
         doubted = strange = None
         tried = {attempt.worker.id: attempt.out for attempt in job.attempts}
-        again = bool(job.attempts) or job.ask_round > 1
+        again = bool(job.attempts)
         for place in range(DRAWS):
             worker = pool.draw(self.rng)
             if self._cold(worker) and (place or again or not self._cold_turn(worker, job)):
@@ -304,7 +289,7 @@
                 if self._connected(worker):
                     return worker
                 strange = strange or worker
-            elif doubted is None and not worker.asked and not tried.get(worker.id):
+            elif doubted is None and not tried.get(worker.id):
                 doubted = worker
         return strange or doubted
 
@@ -320,7 +305,7 @@
             worker.idle = max(0, worker.idle - 1)
 
     def _doubt(self, worker: Worker, job: Job) -> bool:
-        if worker.shy_until > self.now or worker.asked:
+        if worker.shy_until > self.now:
             return True
         if worker.pace > SLOW * self.pace and self.now - worker.pace_at < PACE_AGE and (
                 self.rng.random() > self.pace / worker.pace):
@@ -358,7 +343,7 @@
         near, all_ = self._pool(own, job), self._pool(None, job)
         if near and all_ and self.rng.random() * all_.sums[-1] > near.sums[-1] * self.settings.zones:
             return None  # a zone with few workers, or few left, keeps no more than its capacity's part
-        prices, tries = self.settings.prices, len(job.attempts) + job.ask_round
+        prices, tries = self.settings.prices, len(job.attempts)
         spill = (self._f() or 0.0) - SPILL_FROM * prices.cross_zone + SPILL_DEAR * prices.handshake
         if tries > OWN_TRIES * prices.cross_zone or self.rng.random() < spill:
             return None
@@ -482,43 +467,12 @@
                 self._close(job)
             return
         scope = self._scope(job)
-        if self.asking and not self._asked(job, scope):
-            return
-        worker = job.offer or self._draw(job, scope)
-        if self.asking and worker is not None and self._free(worker) <= -1 and (self._f() or 0.0) > BUSY:
-            # A fleet whose queues have filled makes every job late: wait here for room, or be refused.
-            if self.now < job.came + HOLD_PART * job.cls.aim:
-                job.failures, job.ask_round, job.offer = job.failures + 1, 0, None
-                self._pause(job)
-            else:
-                self._close(job)
-        elif worker is None:
+        worker = self._draw(job, scope)
+        if worker is None:
             self._pause(job)
         else:
             self._send(job, worker)
 
-    def _asked(self, job: Job, scope: Scope) -> bool:
-        """Ask drawn workers for their load; true once one has room, or Equation 2 allows no more."""
-        if job.asks and self.now < job.ask_until:
-            self._wake(job, job.ask_until)
-            return False
-        offer = job.offer
-        if offer is not None and not offer.ready:
-            offer = job.offer = None
-        if job.ask_round >= 1 or (offer is not None and self._free(offer) >= 1):
-            return True
-        job.ask_round += 1
-        job.ask_until = self.now + ASK_TICKS * self.settings.tick
-        job.asks.clear()
-        for _ in range(ASK_WIDTH):
-            worker = self._draw(job, scope)
-            if worker is not None and not worker.asked:
-                worker.asked = True
-                job.asks.append(worker)
-                self.actions.append(Probe(worker.id))
-        self._wake(job, job.ask_until)
-        return False
-
     def _send(self, job: Job, worker: Worker) -> None:
         now = self.now
         job.attempts.append(Attempt(worker, now))
@@ -527,8 +481,6 @@
         worker.idle = max(0, worker.idle - 1) if now - worker.idle_at < self.settings.limits.idle_close else 0
         worker.lent = job.slots + (worker.lent if now - worker.lent_at < REPORT_LAG else 0.0)
         worker.lent_at = now
-        job.asks.clear()
-        job.offer, job.ask_round = None, 0
         self.actions.append(Send(job.id, worker.id))
         if self.settings.tells_start:
             self._wake(job, now + self._bound(job))
@@ -622,7 +574,7 @@
 
     def _over(self, job: Job) -> None:
         job.over = True
-        if job.attempts or job.ask_round or job.failures:
+        if job.attempts or job.failures:
             served = any(attempt.served for attempt in job.attempts)
             self.served += MEAN_SMOOTHING * (served - self.served)
         self.waiting.pop(job.id, None)
@@ -730,25 +682,6 @@
             worker.pace, worker.pace_at = old + 0.5 * (pace - old), self.now
             self.pace += MEAN_SMOOTHING * (pace - self.pace) if self.pace else pace
 
-    def _probed(self, event: Probed) -> None:
-        worker = self.workers.get(event.worker)
-        if worker is None:
-            return
-        worker.asked = False
-        self._report(worker, event.report)
-        if event.outcome is not Outcome.OK:
-            self._no_room(worker)
-        else:
-            # The paper's 1-bit indicator: queues hide the overload that a refusal would show.
-            self.window.append((self.now, self._free(worker) < 1, False))
-        for job in [job for job in self.waiting.values() if worker in job.asks]:
-            job.asks.remove(worker)
-            if event.outcome is Outcome.OK and (
-                    job.offer is None or self._free(worker) > self._free(job.offer)):
-                job.offer = worker
-            if not job.asks:
-                self._step(job)
-
     def _withdrawn(self, number: int) -> None:
         job = self.jobs.get(number)
         if job is not None and not job.over:
