Draws by what own jobs leave where no starts are told

On big-1 nine in ten sends stayed in their zone, one box held 30 jobs while others stood idle, and f stood at 0 as its deep queues turn nothing away. Now, where no starts are told, a draw stands with a high power of what own jobs leave of a worker's slots; f counts a draw that found half its slots held, by the own part of all jobs that reports tell, and late answers where there are no reports; the excess over a share goes by that part. Everywhere, the own zone is drawn from first only while f is low, longer the dearer a crossing, and a passed-over worker is taken by least held.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -25,11 +25,11 @@
 CHEAP = 0.75  # of the mean worth for work, under which a job is refused before others
 CHEAP_FROM = 0.7  # f from which some of those are refused
 TURNED_AWAY = 0.35  # what workers turned away counts so much more: no place in a queue was kept meanwhile
-OWN_TRIES = 15.0  # own zone tries before others, for each unit of price of a crossing
-SPILL_FROM = 5.0  # f from which first tries spill, for each unit of that price
-SPILL_DEAR = 8.0  # what of them spills for each unit of price of a connection: no room costs one
+NEAR_DRAWS = 2.0  # draws for one pick from the own zone alone
+NEAR_DEAR = 50.0  # more of these for each unit of price of a crossing
+NEAR_UNTIL = 0.06  # f from which all zones are drawn from alike
+NEAR_LONGER = 5.0  # how much later, for each unit of price of a crossing
 SHARE_MS = 2000.0  # ms over which a tenant's own recent traffic fades
-UNEVEN = 1.25  # a tenant's part of the own traffic over its share that is still chance
 BUSY = 0.5  # f above which a job that can no longer be in time gets no further attempt
 TRIED_ANYWAY = 0.05  # part of the jobs above it that are tried all the same, so that f can recover
 UNSURE = 0.1  # 1 - assurance of the class worth least; the others' shrinks with their worth
@@ -45,11 +45,12 @@
 MEAN_SMOOTHING = 0.05  # weight of a new sample in the mean pace and run times
 LEAST_DONE = 0.05  # least share done that says something of the pace
 SLOTS = 4.0  # of a worker, as a guess, of which own started jobs take some
+LEFT_POWER = 24.0  # power of the part of its slots that own jobs leave, by which an untold draw stands
+CROWDED = 0.5  # part of a worker's slots, held before it, from which an untold draw found no room
 SHY_MS = 300.0  # a worker that had no room is passed over this long; doubles with each repeat
 SHY_DOUBLINGS = 5  # at most, so that a suspect worker is tried again by real jobs within seconds
 GOLDEN = 0.6180339887  # spreads by the job's number, evenly, what needs no draw from the generator
-REPORT_LAG = 600.0  # ms for which own sends may be missing from a worker's reports
-DEAR_HANDSHAKE = 0.02  # price from which workers without an idle connection are passed over
+DEAR_HANDSHAKE = 0.05  # price from which workers without an idle connection are passed over
 MOVED_SPREAD = 0.01  # part of the time within which the list must be asked for, to ask it where it moved
 LIVE_SMOOTHING = 0.1  # weight of a new live list weight: live weights fold in load and lag
 UNRUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))  # these prove it never ran
@@ -61,7 +62,7 @@
     """What this dispatcher knows of one worker."""
 
     __slots__ = ("id", "zone", "cell", "kind", "weight", "started_at", "ready", "unstarted", "shy_until",
-                 "strikes", "failing", "room", "room_at", "lent", "lent_at", "idle", "idle_at", "pace",
+                 "strikes", "failing", "idle", "idle_at", "pace",
                  "pace_at", "held", "classes", "interface", "planned")
 
     def __init__(self, entry: Entry) -> None:
@@ -72,11 +73,9 @@
         self.started_at = 0.0
         self.ready = False
         self.unstarted = 0  # own jobs sent there that have not started
-        self.held = 0.0  # slots that own started jobs hold
+        self.held = 0.0  # slots that own jobs hold: those that started, all where no starts are told
         self.shy_until = 0.0  # passed over until then
         self.strikes = self.failing = 0  # no room found in a row; errors, halved by each served job
-        self.room, self.room_at = 1.0, -math.inf  # free slots, less what waits, by its last report
-        self.lent, self.lent_at = 0.0, -math.inf  # slots taken by own recent sends
         self.pace, self.pace_at = 0.0, -math.inf  # time a unit of work takes it, and when that was seen
         self.idle, self.idle_at = 0, -math.inf  # own open connections not in use, and since when
 
@@ -151,6 +150,7 @@
         self.slots: dict[int, float] = {}  # most slots seen in use on a worker of each kind
         self.means = [0.0] * len(settings.classes)  # ms that a job of each class held a slot
         self.mean = 0.0  # the same over all jobs, times their slots
+        self.mine = self.all = 0.0  # mean slots that own jobs, and all, held where reports came from
         self.served = 1.0  # part of the recent jobs that were not refused at once and got served
         self.value = self.worth = 0.0  # mean worth for work, and mean worth, of the jobs served
         self.heard = [0.0] * len(settings.tenants)  # own recent jobs of each tenant, fading
@@ -274,22 +274,31 @@
     # ---- draws
 
     def _draw(self, job: Job, scope: Scope) -> Worker | None:
-        """A worker by capacity; one that this dispatcher has cause to doubt is passed over, boundedly."""
+        """A worker by capacity; one that this dispatcher has cause to doubt is passed over, boundedly. The
+        own zone is drawn from first, longer the dearer a crossing: it keeps what it has room for, whatever
+        part of the traffic comes in there."""
         pool = self._pool(scope, job)
         if pool is None:
             return None
         doubted = strange = None
         tried = {attempt.worker.id: attempt.out for attempt in job.attempts}
         again = bool(job.attempts)
+        near, dear = None, self.settings.prices.cross_zone
+        if scope is None and self.settings.zones > 1 and not self.planned and (  # a plan weighed this
+                (self._f() or 0.0) < NEAR_UNTIL + NEAR_LONGER * dear):
+            near = self._pool(("zone", self.settings.zone), job)
+            if near and self.rng.random() * pool.sums[-1] > near.sums[-1] * self.settings.zones:
+                near = None  # a zone with few workers, or few left, keeps no more than its capacity's part
         for place in range(DRAWS):
-            worker = pool.draw(self.rng)
+            worker = (near if near and place < NEAR_DRAWS + NEAR_DEAR * dear else pool).draw(self.rng)
             if self._cold(worker) and (place or again or not self._cold_turn(worker, job)):
                 continue
             if worker.id not in tried and not self._doubt(worker, job):
                 if self._connected(worker):
                     return worker
                 strange = strange or worker
-            elif doubted is None and not tried.get(worker.id):
+            elif not tried.get(worker.id) and (
+                    doubted is None or worker.held * self._size(doubted) < doubted.held * self._size(worker)):
                 doubted = worker
         return strange or doubted
 
@@ -313,11 +322,17 @@
         if self.settings.tells_start:
             # What own jobs hold is no capacity: the draw goes by what is left of it.
             return worker.unstarted > 0 or self.rng.random() * SLOTS < worker.held * (job.slots + 1) / 2
-        return self.now - worker.room_at < SHY_MS and self._free(worker) < 1
+        # Guards against queues that nobody tells of: reports are older than the jobs sent since, so what own
+        # jobs leave is the capacity. Its high power keeps a box with few of them from filling up by chance.
+        return self.rng.random() > math.pow(max(0.0, 1 - worker.held / self._size(worker)), LEFT_POWER)
 
-    def _free(self, worker: Worker) -> float:
-        """Its free slots by its last report, less own sends that the report may not hold yet."""
-        return worker.room - (worker.lent if self.now - worker.lent_at < REPORT_LAG else 0.0)
+    def _size(self, worker: Worker) -> float:
+        """Its slots: the most that any worker of its kind reported, or a guess."""
+        return self.slots.get(worker.kind) or SLOTS
+
+    def _part(self) -> float:
+        """The part of all jobs that are this dispatcher's own: by the reports, else an equal one."""
+        return self.mine / self.all if self.all else 1.0 / self.settings.siblings
 
     def _cold(self, worker: Worker) -> bool:
         return worker.started_at > 0 and self.now - worker.started_at < self.settings.rules.cold
@@ -333,22 +348,6 @@
         taken = min(self.served, 1 - self._turned_away())
         return self.rng.random() * max(1.0, heavy) < part * taken
 
-    def _scope(self, job: Job) -> Scope:
-        """Its group where it may have run, else the own zone first, then anywhere: the dearer a crossing, the
-        more tries the own zone gets; where connections are dear, kept ones bear the crossings."""
-        group = self._may(job)[1]
-        own: Scope = ("zone", self.settings.zone)
-        if group is not None or self.settings.zones < 2 or self._pool(own, job) is None or self.planned:
-            return group  # a plan has weighed what crosses already
-        near, all_ = self._pool(own, job), self._pool(None, job)
-        if near and all_ and self.rng.random() * all_.sums[-1] > near.sums[-1] * self.settings.zones:
-            return None  # a zone with few workers, or few left, keeps no more than its capacity's part
-        prices, tries = self.settings.prices, len(job.attempts)
-        spill = (self._f() or 0.0) - SPILL_FROM * prices.cross_zone + SPILL_DEAR * prices.handshake
-        if tries > OWN_TRIES * prices.cross_zone or self.rng.random() < spill:
-            return None
-        return own
-
     # ---- what a job may still do
 
     def _may(self, job: Job) -> tuple[bool, Scope, bool]:
@@ -423,7 +422,7 @@
 
     def _over_share(self, tenant: int) -> bool:
         """Whether this job is over its tenant's share: of a tenant that sends more than this dispatcher's
-        part of its allowance, and a larger part of the traffic than its share, the excess is."""
+        part of its allowance, the excess is."""
         tenants = self.settings.tenants
         if tenant >= len(tenants):
             return False
@@ -431,10 +430,8 @@
         self.heard, self.heard_at = [heard * fade for heard in self.heard], self.now
         self.heard[tenant] += 1
         mine, told = self.heard[tenant], tenants[tenant]
-        allowed = told.allowance / 1000 * SHARE_MS / self.settings.siblings
-        part = told.share / (sum(one.share for one in tenants) or 1.0)
-        uneven = mine > UNEVEN * part * sum(self.heard)
-        return uneven and mine > max(1.0, allowed) and self.rng.random() > allowed / mine
+        allowed = told.allowance / 1000 * SHARE_MS * self._part()
+        return mine > max(1.0, allowed) and self.rng.random() > allowed / mine
 
     def _step(self, job: Job) -> None:
         """Do what is due for a job."""
@@ -452,7 +449,7 @@
 
     def _place(self, job: Job) -> None:
         """Send the job to a drawn worker, or ask drawn workers first where that is cheap."""
-        may_send, _, refusable = self._may(job)
+        may_send, scope, refusable = self._may(job)
         # What broke off and can't be refused would be lost to its client, who must not ask again: nobody else
         # can repeat it, so it gets all the attempts that there are.
         alone = bool(job.broken) and not refusable and not job.outs()
@@ -466,7 +463,6 @@
             if not job.outs():
                 self._close(job)
             return
-        scope = self._scope(job)
         worker = self._draw(job, scope)
         if worker is None:
             self._pause(job)
@@ -475,15 +471,21 @@
 
     def _send(self, job: Job, worker: Worker) -> None:
         now = self.now
-        job.attempts.append(Attempt(worker, now))
+        attempt = Attempt(worker, now)
+        job.attempts.append(attempt)
         self.waiting.pop(job.id, None)
-        worker.unstarted += 1
         worker.idle = max(0, worker.idle - 1) if now - worker.idle_at < self.settings.limits.idle_close else 0
-        worker.lent = job.slots + (worker.lent if now - worker.lent_at < REPORT_LAG else 0.0)
-        worker.lent_at = now
         self.actions.append(Send(job.id, worker.id))
         if self.settings.tells_start:
+            worker.unstarted += 1
             self._wake(job, now + self._bound(job))
+            return
+        # Nobody will tell: as far as is known it runs from now on. Where reports tell which part of all jobs
+        # is the own one, a fleet whose queues fill shows at once in what own jobs hold; else in late answers.
+        attempt.started, attempt.counted = True, self.all > 0
+        if attempt.counted:
+            self.window.append((now, worker.held > CROWDED * self._size(worker) * self._part(), False))
+        worker.held += job.slots
 
     def _bound(self, job: Job) -> float:
         """How long a sent job may take to start: it grows with the attempts, as the pauses do, and where
@@ -593,15 +595,15 @@
         worker = attempt.worker
         attempt.out = False
         attempt.unrun, attempt.served = event.outcome in UNRUN, event.outcome is Outcome.OK
+        self._report(worker, event.report)
         if attempt.started:
             worker.held = max(0.0, worker.held - job.slots)
         else:
             worker.unstarted = max(0, worker.unstarted - 1)
-        self._report(worker, event.report)
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             worker.idle, worker.idle_at = worker.idle + 1, self.now
         if event.outcome in (Outcome.FULL, Outcome.CONNECT_FAILED):
-            if not attempt.counted:
+            if not attempt.counted or not self.settings.tells_start:
                 self._no_room(worker, event.outcome is Outcome.FULL)
             job.failures += 1
         elif event.outcome is Outcome.ERROR:
@@ -624,6 +626,9 @@
             worker.failing //= 2  # one served job says less than a run of errors
             if not attempt.counted:
                 self._room(worker)
+                if not self.settings.tells_start:
+                    late = took > job.cls.aim + job.cls.stretch * (job.work or took / 2)
+                    self.window[-1] = (self.now, late, False)
         if event.settled and not job.over:
             self._over(job)
         elif job.over:
@@ -641,19 +646,21 @@
             self._step(job)
 
     def _report(self, worker: Worker, report: tuple[float, ...]) -> None:
-        """Free slots less waiting jobs. What is not told of these follows from the most slots seen in use."""
-        if not report or not self.fields:
-            return
+        """Learn a worker's slots, and the own part of what fills them. What a report doesn't tell of free
+        slots, waiting jobs and jobs in hand follows from the rest and from the most slots seen."""
         value = {name: report[place] for name, place in self.fields.items() if place < len(report)}
         free, queue, held = value.get("free_slots"), value.get("queue"), value.get("inflight")
+        if free is None and held is None:
+            return
         seen = self.slots.get(worker.kind, 0.0)
-        if held is not None and (queue is not None or (free is not None and free >= 0.5)):
-            seen = self.slots[worker.kind] = max(seen, round(held - (queue or 0.0) + (free or 0.0)))
-        if free is None:
-            free = seen - held + (queue or 0.0) if held is not None else 1.0
-        if queue is None:
-            queue = max(0.0, held - seen) if held is not None and free < 0.5 else 0.0
-        worker.room, worker.room_at = free - queue, self.now
+        if free is not None:
+            used = 0.0 if held is None else held - (queue or 0.0)
+            seen = self.slots[worker.kind] = max(seen, round(free + used))
+        elif held is not None and queue is not None:
+            seen = self.slots[worker.kind] = max(seen, round(held - queue))
+        in_hand = seen - (free or 0.0) + (queue or 0.0) if held is None else held
+        self.mine += MEAN_SMOOTHING * (worker.held - self.mine)
+        self.all += MEAN_SMOOTHING * (max(worker.held, in_hand) - self.all)
 
     def _note(self, event: Note) -> None:
         job = self.jobs.get(event.job)
@@ -676,7 +683,7 @@
 
     def _paced(self, job: Job, attempt: Attempt, done: float) -> None:
         """Learn how fast a worker works, where jobs come with a hint of their work."""
-        if job.work and attempt.started:
+        if job.work and attempt.started and self.settings.tells_start:
             pace, worker = (self.now - attempt.news_at) / (job.work * done), attempt.worker
             old = worker.pace if self.now - worker.pace_at < PACE_AGE else pace
             worker.pace, worker.pace_at = old + 0.5 * (pace - old), self.now
