--- a/pipitshed/config.py
+++ b/pipitshed/config.py
@@ -6,7 +6,7 @@
 import os
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Literal
 
@@ -90,6 +90,12 @@
     return int(text) if text.isdigit() else 3
 
 
+def _on_sockets(settings: Settings) -> Settings:
+    """The settings as they hold on sockets. Guards against a list that no one ever asks for: where the
+    settings say that news is pushed, a watch is what it comes by, as discovery answers only who calls."""
+    return replace(settings, list_on_request=True)
+
+
 def load(environment: Mapping[str, str] = os.environ) -> Config:
     """Read what LB_CONFIG names; ConfigError where that can't be used."""
     path = environment.get("LB_CONFIG", "")
@@ -107,7 +113,7 @@
         mgmt = environment.get("LB_MGMT", "") or file.mgmt
         return Config(
             file.name or environment.get("LB_NAME", ""), listen, address_of(asked) if asked else None,
-            int(file.seed, 16), file.limits.sockets, file.known, settings_from(file.settings),
+            int(file.seed, 16), file.limits.sockets, file.known, _on_sockets(settings_from(file.settings)),
             [one.name for one in names.services], [one.name for one in names.tenants], names.areas,
             names.shapes, names.stats.fields, address_of(mgmt) if mgmt else None,
             passed_socket(environment), raw, environment.get("LB_TRACE", ""))
--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -72,7 +72,13 @@
                     values[name.strip()] = float(value)
     except (ValueError, msgspec.DecodeError):
         return ()
-    return tuple(values.get(name, 0.0) for name in fields) if values else ()
+    return report_of(values, fields)
+
+
+def report_of(values: dict[str, float], fields: Sequence[str]) -> tuple[float, ...]:
+    """A load report in the order of the settings' fields. Guards against a planner that leaves one out, or
+    names it otherwise: taken for 0, it would be the sign of a full planner, or of an idle one."""
+    return tuple(values[name] for name in fields) if all(name in values for name in fields) else ()
 
 
 class _Connection(asyncio.Protocol):
@@ -185,7 +191,7 @@
             self._carrier.core.hop_noted(hop, NoteKind.PROGRESS, line.share)
         elif line.state in _ENDS:
             self._end(_ENDS[line.state], line.result.encode(),
-                      [line.load.get(name, 0.0) for name in self._carrier.fields] if line.load else ())
+                      report_of(line.load, self._carrier.fields))
 
     def answer_ended(self, keep_alive: bool) -> None:
         if self.hop is None and self.probed is None:
@@ -241,8 +247,9 @@
         self._connect_timeout = limits.connect_timeout / 1000
         self._idle_for = limits.idle_close / 1000 * (1 - IDLE_SPARE)
 
-    def retune(self, limits: Limits) -> None:
-        """Limits anew: what stands idle is closed by the new time where that is sooner."""
+    def retune(self, limits: Limits, fields: Sequence[str]) -> None:
+        """Limits and report fields anew: what stands idle is closed by the new time where that is sooner."""
+        self.fields = fields
         self._connect_timeout = limits.connect_timeout / 1000
         idle_for, self._idle_for = self._idle_for, limits.idle_close / 1000 * (1 - IDLE_SPARE)
         if self._idle_for >= idle_for:
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -34,7 +34,10 @@
 
 LISTEN_ON = 0.5  # s after SIGTERM: new connections keep coming for up to 0.4 s
 STAY = 2.0  # s after SIGTERM for which kept connections are served on: a peer may be starting again by then
-ANSWER_BY = 3.4  # s after SIGTERM by which all that came after LISTEN_ON is answered: SIGKILL comes at 3.7 s
+KILLED_AFTER = 0.7  # s after SIGTERM, beside the longest deadline, at which SIGKILL comes
+LONGEST_COUNTED = 3.0  # s that the longest deadline counts at most for that
+BEFORE_KILL = 0.3  # s before SIGKILL by which all that came after LISTEN_ON is answered
+STAY_PART = 0.6  # part of the time until then for which kept connections are served on at most
 LONGEST_END = 1.0  # s beyond the longest deadline after which nothing can be owed any more
 SETTLE = 0.02  # s between looks whether all is answered
 CLIENTS_PART = 0.4  # part of the descriptors for HTTP clients' connections
@@ -61,7 +64,7 @@
             self.core.trace = Trace.named(config.trace)
             self.core.trace.settings((config.raw or {}).get("settings"))
         self.carrier = HttpCarrier(self.core, config.fields, loop)
-        zones, kinds = Names(config.zones), Names(config.kinds)
+        zones, kinds = self._zones, self._kinds = Names(config.zones), Names(config.kinds)
         self.translation = self._translation(config, front) if front.translation is not None else None
         carriers = self.translation.interfaces if self.translation is not None else None
         self.discovery: Discovery | None = None
@@ -182,10 +185,16 @@
     def _retune(self, config: Config) -> None:
         """Take the settings of a file that is whole."""
         now = self._loop.time()
-        self.book, change = self.book.retune(config.classes, config.settings.classes, now)
-        settings = replace(config.settings, classes=self.book.classes)
+        told = config.settings
+        # Guards against a file that tells zones, kinds or report fields in another order: planners that are
+        # listed keep the places that the names had first, and reports come by the new names.
+        zone = self._zones.place(config.zones[told.zone]) if config.zones else told.zone
+        classes = [cls if cls.kind is None or cls.kind >= len(config.kinds) else
+                   replace(cls, kind=self._kinds.place(config.kinds[cls.kind])) for cls in told.classes]
+        self.book, change = self.book.retune(config.classes, classes, now)
+        settings = replace(told, classes=self.book.classes, zone=zone)
         self.core.retune(settings)
-        self.carrier.retune(settings.limits)
+        self.carrier.retune(settings.limits, config.fields)
         self.front.reading.retune(self.book.taken(now), config.tenants)
         if self.book.leaving:
             self._loop.call_later(GRACE, self._door)
@@ -216,14 +225,20 @@
         self._loop.call_later(LISTEN_ON, self._close_doors)
         # Guards against a roll in which nobody is left to go to: clients sent away at once find the peer that
         # was restarted just before still down.
-        self._loop.call_later(STAY, self._send_away)
+        self._loop.call_later(min(STAY, STAY_PART * self._answer_by()), self._send_away)
+
+    def _answer_by(self) -> float:
+        """The time after SIGTERM (s) by which all that came late is answered. Guards against the figure of a
+        deployment with long deadlines in one where they are short, and SIGKILL comes sooner."""
+        longest = max(cls.deadline for cls in self.core.settings.classes) / 1000
+        return min(longest, LONGEST_COUNTED) + KILLED_AFTER - BEFORE_KILL
 
     def _close_doors(self) -> None:
         for listener in self.listeners:
             listener.close()
         if self.gearman is not None:
             self.gearman.closing = True
-        self.core.answer_by = self._loop.time() + ANSWER_BY - LISTEN_ON
+        self.core.answer_by = self._loop.time() + self._answer_by() - LISTEN_ON
 
     def _send_away(self) -> None:
         self.front.draining = True
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -105,14 +105,15 @@
 class Planner(Peer):
     """A planner; `act` is told of each request, and serves it at once where nothing else is scripted."""
 
-    def __init__(self, name: str, zone: str = "lima-norte", act: Callable[[Run], None] = Run.serve) -> None:
-        self.name, self.zone, self.act = name, zone, act
+    def __init__(self, name: str, zone: str = "lima-norte", act: Callable[[Run], None] = Run.serve,
+                 kind: str = "fast") -> None:
+        self.name, self.zone, self.act, self.kind = name, zone, act, kind
         self.runs: list[Run] = []
         self.came = asyncio.Condition()
 
     def line(self, lifecycle: str = "ready") -> dict[str, object]:
         return {"instanceId": self.name, "hostPort": f"127.0.0.1:{self.port}", "zone": self.zone, "cell": 0,
-                "machineType": "fast", "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
+                "machineType": self.kind, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
 
     async def serve(self, reader: Reader, writer: Writer) -> None:
         while True:
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -1,14 +1,18 @@
 """Settings read anew at SIGHUP: classes come, change and go, attempts become fewer, and a broken file changes
 nothing. Jobs under way keep their class."""
 
+import asyncio
 import copy
 import json
+from pathlib import Path
 
 from hypothesis import given
 from hypothesis import strategies as st
 from loopback import SETTINGS, Catalog, HttpClient, Planner, Run, figures, program, story
 
+from pipitshed.config import load, load_front
 from pipitshed.decisions.interface import Effect, JobClass
+from pipitshed.scheduler import Scheduler
 from pipitshed.tuning.classes import ClassBook
 from pipitshed.tuning.whole import lacking
 
@@ -152,3 +156,28 @@
         assert (await client.answer())[0] == 200
         assert planner.runs[-1].headers["idempotency-key"] == "k1"
         assert not any("read anew" in line for line in running.log)
+
+
+def test_names_told_in_another_order_keep_their_places(tmp_path: Path) -> None:
+    """Planners are listed by the places that names had at the start; a file that tells the same names in
+    another order must not move the own zone, or give a class the planners of another kind."""
+    async def check() -> None:
+        services = SETTINGS["services"]
+        told = SETTINGS | {"familyInfo": {"classKind": [-1, 2]}}
+        turned = told | {"areas": SETTINGS["areas"][::-1], "locality": 1, "shapes": SETTINGS["shapes"][::-1],
+                         "familyInfo": {"classKind": [-1, 0]}, "services": services,
+                         "stats": {"fields": ["x1", "x0"], "source": "inline"}}
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({"listen": "127.0.0.1:0", "settings": told}))
+        config = load({"LB_CONFIG": str(path)})
+        scheduler = Scheduler(config, load_front(None, config), asyncio.get_running_loop())
+        path.write_text(json.dumps({"listen": "127.0.0.1:0", "settings": turned}))
+        scheduler._retune(load({"LB_CONFIG": str(path)}))
+        settings = scheduler.core.settings
+        assert settings.zone == 0 and [cls.kind for cls in settings.classes] == [None, 2]
+        assert list(scheduler.carrier.fields) == ["x1", "x0"]
+        assert settings.report_fields == ("free_memory", "free_slots")
+        for listener in scheduler.listeners:
+            listener.close()
+
+    asyncio.run(check())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -5,7 +5,7 @@
 import signal
 import socket
 
-from loopback import Catalog, HttpClient, Planner, call, program, story
+from loopback import SETTINGS, Catalog, HttpClient, Planner, call, program, story
 
 READY = b"GET /-/ready HTTP/1.1\r\nHost: mgmt\r\n\r\n"
 
@@ -72,3 +72,17 @@
         client = await HttpClient.to(running.port)
         client.ask("a1")
         assert (await client.answer())[0] == 200
+
+
+@story
+async def test_the_end_comes_before_sigkill_where_all_deadlines_are_short() -> None:
+    """SIGKILL comes the longest deadline and 0.7 s after SIGTERM. The figures of deployments with deadlines
+    over 3 s, which both have had, would keep the program up for 2 s and lose what came in then."""
+    brief = {"services": [SETTINGS["services"][0] | {"deadline": 600.0, "goalTime": 300.0}]}
+    async with Planner("p1") as planner, Catalog(planner) as catalog, \
+            program(planner, catalog=catalog, settings=brief) as running:
+        client = await HttpClient.to(running.port)
+        client.ask("n1", X_Deadline="0.600")
+        assert (await client.answer())[0] == 200
+        running.process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(running.process.wait(), 0.6 + 0.7) == 0
