--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -424,8 +424,8 @@
         """Whether this job is over its tenant's share: of a tenant that sends more than this dispatcher's
         part of its allowance, the excess is."""
         tenants = self.settings.tenants
-        if tenant >= len(tenants):
-            return False
+        if tenant >= len(tenants) or not tenants[tenant].allowance:
+            return False  # none is told: nothing is beyond it
         fade = math.exp((self.heard_at - self.now) / SHARE_MS)
         self.heard, self.heard_at = [heard * fade for heard in self.heard], self.now
         self.heard[tenant] += 1
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -360,6 +360,13 @@
     assert refused[0] < 40 < 120 < refused[1]
 
 
+def test_a_tenant_that_is_told_no_allowance_is_never_over_it() -> None:
+    bench = Bench(settings(zones=1, tenants=(Tenant(1.0),)), entries(9))
+    for job in range(1, 200):
+        fill(bench, 20)
+        assert not any(isinstance(one, Refuse) for one in bench.feed(Submitted(job, 4000.0)))
+
+
 def loaded(bench: Bench, zone: int, jobs: float) -> None:
     """Own jobs that stay out on each worker of a zone."""
     for worker in bench.dispatcher.workers.values():
