Kept connections bear dear crossings; allowances by part only where it is told

Now the own zone is drawn from first only where a connection is no dearer than a crossing (or cheap), and the check for unevenness is back where no reports tell the own part.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -27,8 +27,8 @@
 TURNED_AWAY = 0.35  # what workers turned away counts so much more: no place in a queue was kept meanwhile
 NEAR_DRAWS = 2.0  # draws for one pick from the own zone alone
 NEAR_DEAR = 50.0  # more of these for each unit of price of a crossing
-NEAR_UNTIL = 0.06  # f from which all zones are drawn from alike
-NEAR_LONGER = 5.0  # how much later, for each unit of price of a crossing
+NEAR_LONGER = 5.0  # f up to which it is so, for each unit of that price
+UNEVEN = 1.25  # a tenant's part of the own traffic over its share that is still chance
 SHARE_MS = 2000.0  # ms over which a tenant's own recent traffic fades
 BUSY = 0.5  # f above which a job that can no longer be in time gets no further attempt
 TRIED_ANYWAY = 0.05  # part of the jobs above it that are tried all the same, so that f can recover
@@ -276,16 +276,16 @@
     def _draw(self, job: Job, scope: Scope) -> Worker | None:
         """A worker by capacity; one that this dispatcher has cause to doubt is passed over, boundedly. The
         own zone is drawn from first, longer the dearer a crossing: it keeps what it has room for, whatever
-        part of the traffic comes in there."""
+        part of the traffic comes in there. Where connections are dearer, kept ones bear the crossings."""
         pool = self._pool(scope, job)
         if pool is None:
             return None
         doubted = strange = None
         tried = {attempt.worker.id: attempt.out for attempt in job.attempts}
         again = bool(job.attempts)
-        near, dear = None, self.settings.prices.cross_zone
+        near, dear, price = None, self.settings.prices.cross_zone, self.settings.prices.handshake
         if scope is None and self.settings.zones > 1 and not self.planned and (  # a plan weighed this
-                (self._f() or 0.0) < NEAR_UNTIL + NEAR_LONGER * dear):
+                price < max(DEAR_HANDSHAKE, dear)) and (self._f() or 0.0) <= NEAR_LONGER * dear:
             near = self._pool(("zone", self.settings.zone), job)
             if near and self.rng.random() * pool.sums[-1] > near.sums[-1] * self.settings.zones:
                 near = None  # a zone with few workers, or few left, keeps no more than its capacity's part
@@ -422,7 +422,8 @@
 
     def _over_share(self, tenant: int) -> bool:
         """Whether this job is over its tenant's share: of a tenant that sends more than this dispatcher's
-        part of its allowance, the excess is."""
+        part of its allowance, the excess is. Where nobody tells the part, an equal one says little of uneven
+        traffic: only a tenant with a larger part of the own traffic than its share is over it."""
         tenants = self.settings.tenants
         if tenant >= len(tenants) or not tenants[tenant].allowance:
             return False  # none is told: nothing is beyond it
@@ -431,6 +432,9 @@
         self.heard[tenant] += 1
         mine, told = self.heard[tenant], tenants[tenant]
         allowed = told.allowance / 1000 * SHARE_MS * self._part()
+        part = told.share / (sum(one.share for one in tenants) or 1.0)
+        if not self.all and mine <= UNEVEN * part * sum(self.heard):
+            return False
         return mine > max(1.0, allowed) and self.rng.random() > allowed / mine
 
     def _step(self, job: Job) -> None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -360,6 +360,17 @@
     assert refused[0] < 40 < 120 < refused[1]
 
 
+def test_without_a_told_part_a_busy_dispatcher_does_not_refuse_all_tenants_alike() -> None:
+    """The failure met: one of forty with more than a fortieth of the traffic took all of its tenants to be
+    over their shares, and refused twice as much while planners joined."""
+    tenants = (Tenant(0.5, 10.0), Tenant(0.5, 10.0))
+    bench = Bench(settings(zones=1, tenants=tenants, siblings=40), entries(9))
+    for job in range(1, 200):
+        fill(bench, 20)
+        told = bench.feed(Submitted(job, 4000.0, tenant=job % 2))
+        assert job < 20 or not any(isinstance(one, Refuse) for one in told)  # a few say nothing of parts
+
+
 def test_a_tenant_that_is_told_no_allowance_is_never_over_it() -> None:
     bench = Bench(settings(zones=1, tenants=(Tenant(1.0),)), entries(9))
     for job in range(1, 200):
