Draws from the own zone first stay, under a bound on f

Change: the condition on the price of a connection is gone again, the bound on f is 9 times the price of a crossing.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -27,7 +27,7 @@
 TURNED_AWAY = 0.35  # what workers turned away counts so much more: no place in a queue was kept meanwhile
 NEAR_DRAWS = 2.0  # draws for one pick from the own zone alone
 NEAR_DEAR = 50.0  # more of these for each unit of price of a crossing
-NEAR_LONGER = 5.0  # f up to which it is so, for each unit of that price
+NEAR_LONGER = 9.0  # f up to which it is so, for each unit of that price
 UNEVEN = 1.25  # a tenant's part of the own traffic over its share that is still chance
 SHARE_MS = 2000.0  # ms over which a tenant's own recent traffic fades
 BUSY = 0.5  # f above which a job that can no longer be in time gets no further attempt
@@ -276,16 +276,16 @@
     def _draw(self, job: Job, scope: Scope) -> Worker | None:
         """A worker by capacity; one that this dispatcher has cause to doubt is passed over, boundedly. The
         own zone is drawn from first, longer the dearer a crossing: it keeps what it has room for, whatever
-        part of the traffic comes in there. Where connections are dearer, kept ones bear the crossings."""
+        part of the traffic comes in there."""
         pool = self._pool(scope, job)
         if pool is None:
             return None
         doubted = strange = None
         tried = {attempt.worker.id: attempt.out for attempt in job.attempts}
         again = bool(job.attempts)
-        near, dear, price = None, self.settings.prices.cross_zone, self.settings.prices.handshake
+        near, dear = None, self.settings.prices.cross_zone
         if scope is None and self.settings.zones > 1 and not self.planned and (  # a plan weighed this
-                price < max(DEAR_HANDSHAKE, dear)) and (self._f() or 0.0) <= NEAR_LONGER * dear:
+                (self._f() or 0.0) <= NEAR_LONGER * dear):
             near = self._pool(("zone", self.settings.zone), job)
             if near and self.rng.random() * pool.sums[-1] > near.sums[-1] * self.settings.zones:
                 near = None  # a zone with few workers, or few left, keeps no more than its capacity's part
