--- /dev/null
+++ b/pipitshed/lab/virtual_view.py
@@ -0,0 +1,165 @@
+"""The membership code under a network in virtual time: seeded, cut, lossy, and the same to the last event."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+
+from pipitshed.membership.members import Address, State, Word
+from pipitshed.membership.messages import Message, Sync
+from pipitshed.membership.protocol import Displaced, Effect, Membership, News, Tell
+from pipitshed.membership.timing import Scales
+
+ZONES = ("one", "two", "three")
+
+
+@dataclass
+class Node:
+    """One scheduler's process in the network."""
+
+    name: str
+    address: Address
+    membership: Membership
+    stopped_until: float = 0.0  # its loop stands still until then; what comes is read after that
+    backlog: list[tuple[Message, Address]] = field(default_factory=list)
+
+
+class Network:
+    """Nodes, what is on its way between them, and what cuts them off. Times are seconds."""
+
+    def __init__(self, seed: int, scales: Scales | None = None, loss: float = 0.0,
+                 delay: tuple[float, float] = (0.0005, 0.010)) -> None:
+        self.rng = random.Random(seed)
+        self.scales = scales or Scales()
+        self.loss, self.delay = loss, delay
+        self.now = 0.0
+        self.nodes: dict[Address, Node] = {}
+        self.cut: Callable[[Address, Address], bool] = lambda source, target: False
+        self.news: list[tuple[float, str, News]] = []
+        self.displaced: list[str] = []
+        self.sent: Counter[str] = Counter()
+        self._events: list[tuple[float, int, Address, int, Message | None, Address]] = []
+        self._order = count()
+        self._log = hashlib.blake2b(digest_size=16)
+
+    # ---- what a test does
+
+    def start(self, number: int, seeds: list[int], clock: float = 0.0, name: str = "") -> Node:
+        """Start a process at address `number`; `clock` is what its own clock is off by."""
+        address = ("127.0.0.1", 10_000 + number)
+        incarnation = int((1_000_000 + self.now + clock) * 1000)
+        name = name or f"n{number}"
+        me = Word(name, *address, ZONES[number % len(ZONES)], incarnation, self.rng.randrange(2**32),
+                  said_by=name)
+        membership = Membership(me, self.scales, [("127.0.0.1", 10_000 + seed) for seed in seeds],
+                                random.Random(self.rng.randrange(2**62)), self.now)
+        node = self.nodes[address] = Node(name, address, membership)
+        self._wake(node)
+        return node
+
+    def fleet(self, size: int) -> list[Node]:
+        """So many at once, that join by the first two."""
+        return [self.start(number, [0, 1]) for number in range(size)]
+
+    def kill(self, node: Node) -> None:
+        """The process is gone, and nobody is told."""
+        if self.nodes.get(node.address) is node:
+            del self.nodes[node.address]
+
+    def leave(self, node: Node) -> None:
+        """It goes in good order."""
+        self._carry_out(node, node.membership.leave(self.now))
+        self.kill(node)
+
+    def stop(self, node: Node, seconds: float) -> None:
+        """Its loop stands still: the kernel takes what comes, and nothing is read or sent until later."""
+        node.stopped_until = self.now + seconds
+        self._push(node.stopped_until, node, None, node.address)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds
+        while self._events and self._events[0][0] <= until:
+            when, _, address, identity, message, source = heappop(self._events)
+            self.now = max(self.now, when)
+            node = self.nodes.get(address)
+            if node is None or (message is None and id(node) != identity):
+                continue
+            if self.now < node.stopped_until:
+                if message is not None:
+                    node.backlog.append((message, source))
+                continue
+            self._turn(node, message, source)
+        self.now = until
+
+    def settle(self, within: float, step: float = 0.1) -> float | None:
+        """How long until every view is the truth, at most `within`; None where it is not by then."""
+        begun = self.now
+        while self.now - begun <= within:
+            if self.agreed():
+                return self.now - begun
+            self.run(step)
+        return None
+
+    def agreed(self) -> bool:
+        """Whether all that live hold exactly those alive that live."""
+        truth = sorted((node.name, node.address) for node in self.nodes.values())
+        return all([(word.name, word.address) for word in node.membership.view.living()] == truth
+                   and all(word.state is State.ALIVE for word in node.membership.view.living())
+                   for node in self.nodes.values())
+
+    def false_deaths(self) -> int:
+        """How often one that lived was declared dead by one that lived."""
+        return sum(news.word.state is State.DEAD for _, _, news in self.news)
+
+    @property
+    def log_hash(self) -> str:
+        """Of all that happened: the same for the same seed and script."""
+        return self._log.hexdigest()
+
+    # ---- how it happens
+
+    def _turn(self, node: Node, message: Message | None, source: Address) -> None:
+        membership = node.membership
+        backlog, node.backlog = node.backlog, []
+        for earlier, came_from in backlog:
+            self._carry_out(node, membership.hear(self.now, earlier, came_from))
+        if message is not None:
+            self._carry_out(node, membership.hear(self.now, message, source))
+        elif membership.due() <= self.now:
+            self._carry_out(node, membership.tick(self.now))
+            self._wake(node)
+        elif backlog:
+            self._wake(node)
+
+    def _wake(self, node: Node) -> None:
+        self._push(max(node.membership.due(), self.now), node, None, node.address)
+
+    def _push(self, when: float, node: Node, message: Message | None, source: Address) -> None:
+        heappush(self._events, (when, next(self._order), node.address, id(node), message, source))
+
+    def _carry_out(self, node: Node, effects: list[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Tell):
+                self._send(node, effect.to, effect.message)
+            elif isinstance(effect, News):
+                self.news.append((self.now, node.name, effect))
+                line = f"{self.now:.6f} {node.name} {effect.word.name} {effect.word.state}\n"
+                self._log.update(line.encode())
+            elif isinstance(effect, Displaced):
+                self.displaced.append(node.name)
+
+    def _send(self, node: Node, to: Address, message: Message) -> None:
+        self.sent[node.name] += 1
+        whole = isinstance(message, Sync)  # goes over a stream: what is lost is sent again
+        if self.cut(node.address, to) or (not whole and self.rng.random() < self.loss):
+            return
+        if whole and self.cut(to, node.address):
+            return  # a stream never comes up where one way is cut
+        when = self.now + self.rng.uniform(*self.delay)
+        heappush(self._events, (when, next(self._order), to, 0, message, node.address))
