--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -652,6 +652,8 @@
     def _report(self, worker: Worker, report: tuple[float, ...]) -> None:
         """Learn a worker's slots, and the own part of what fills them. What a report doesn't tell of free
         slots, waiting jobs and jobs in hand follows from the rest and from the most slots seen."""
+        if not report:
+            return
         value = {name: report[place] for name, place in self.fields.items() if place < len(report)}
         free, queue, held = value.get("free_slots"), value.get("queue"), value.get("inflight")
         if free is None and held is None:
