--- a/pipitshed/cli.py
+++ b/pipitshed/cli.py
@@ -13,7 +13,7 @@
 from pipitshed.scheduler import serve as run_scheduler
 
 
-front_option = click.option("--front", type=click.Path(path_type=Path, exists=True, dir_okay=False),
+front_option = click.option("--front", type=click.Path(path_type=Path),
                             help="The file that asks for more than the platform's own: Gearman, DNS-SD, "
                                  "translation, a plan. Without it none of them is on.")
 
--- a/pipitshed/membership/protocol.py
+++ b/pipitshed/membership/protocol.py
@@ -111,7 +111,7 @@
                 self._sync()
             elif what == "gone":
                 self._at(now + self.scales.sync_with_gone * (0.5 + self._rng.random()), "gone")
-                self._reach_the_gone(now)
+                self._reach_the_gone()
             else:
                 self._judge(now)
         return self._out()
@@ -305,7 +305,7 @@
         if known and not self.leaving:
             self._tell(self._rng.choice(known), Sync(self.me, True, tuple(self.view)))
 
-    def _reach_the_gone(self, now: float) -> None:
+    def _reach_the_gone(self) -> None:
         """Exchange with one that is held dead, or a seed that nobody lives at. Guards against two halves of a
         fleet that hold each other dead for good once what was cut is whole."""
         held = {word.address for word in self.view.living()}
--- a/pipitshed/membership/view.py
+++ b/pipitshed/membership/view.py
@@ -5,7 +5,7 @@
 import hashlib
 from collections.abc import Iterable, Iterator
 
-from pipitshed.membership.members import State, Word, rank
+from pipitshed.membership.members import Word, rank
 
 MOST_MEMBERS = 4096  # names held at the most, whatever strangers say
 
@@ -42,8 +42,6 @@
             if len(self._words) >= self._most:
                 self.turned_down += 1
                 return False
-            if word.gone and not self._tombstones_for:
-                return False
         elif rank(word) <= rank(held):
             return False
         if held is None or (held.state, held.life) != (word.state, word.life):
@@ -76,8 +74,3 @@
     for word in words:
         told.update(f"{word.name}\0{word.host}\0{word.port}\0{word.zone}\0{word.life}\n".encode())
     return told.hexdigest()
-
-
-def state_name(state: State) -> str:
-    """A state as operators read it."""
-    return state.name.lower()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -57,6 +57,13 @@
     assert asked.exit_code == 0 and "classes render" in asked.output and "Gearman off" in asked.output
 
 
+def test_a_front_file_that_is_not_there_ends_in_one_line(tmp_path: Path) -> None:
+    (tmp_path / "config.json").write_text(json.dumps({"listen": "127.0.0.1:0", "settings": SETTINGS}))
+    result = CliRunner().invoke(main, ["serve", "--front", str(tmp_path / "none.toml")],
+                                env={"LB_CONFIG": str(tmp_path / "config.json")})
+    assert result.exit_code == 2 and "none.toml" in result.output and result.output.count("\n") == 1
+
+
 def test_the_shipped_front_file_fits_any_deployment(tmp_path: Path) -> None:
     others = SETTINGS | {"services": [{"name": "render", "deadline": 6000.0, "goalTime": 250.0}],
                          "tenants": [], "areas": ["aswan"], "shapes": []}
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -6,6 +6,7 @@
 import pytest
 
 from pipitshed.decisions import interface as api
+from pipitshed.egress.http import read_load, report_of
 from pipitshed.simulator import wire
 
 BATCH = bytes.fromhex(
@@ -151,3 +152,10 @@
 def test_settings_that_are_no_object_are_refused(data: bytes) -> None:
     with pytest.raises(wire.WireError):
         wire.settings_from_json(data)
+
+
+def test_a_report_that_lacks_a_field_is_no_report() -> None:
+    """Taken for 0, a field that is left out would be the sign of a full planner, or of an idle one."""
+    assert report_of({"x0": 2.0, "depth": 1.0}, ["depth", "x0"]) == (1.0, 2.0)
+    assert report_of({"x0": 2.0}, ["depth", "x0"]) == () == report_of({}, ["x0"])
+    assert read_load(b"TEXT x0=2", ["depth", "x0"]) == () and read_load(b"TEXT x0=2", ["x0"]) == (2.0,)
