Egress: nothing is written too late, answers that double or never end cost a connection

Need: a hop's connection may come up 1.5 s late; answers break off, double, or never end.

Read and probed with a gate in the transport and scripted planners (tests/test_crossings.py): (1) HttpCarrier._connect_for_hop asked only whether the hop was over, so it wrote after the drain, the end of the planner, the end of a repeat's window, and after the client had gone where the settings permit no cancel; (2) `done` read and its last chunk never sent: hop.over, so its timer was cancelled and nothing ended the connection; (3) trailers, framing and 1xx answers without end were kept by the parser (Reader.feed counted heads alone, anew at each 1xx); (4) a second 503 without an id, some ms late, was "never ran" of the next job on that connection; (5) a line without an id was taken for this request's; (6) an answer before the whole request was out left a connection in the pool with half a request on it. Ruled out: two answers in one segment (the pool's connection was closed before too).

Change: Core.may_begin is asked when a hop that waited for a connection or stream is written; an exchange that ends drops what has not run yet, whatever may be cancelled; Send.write_within carries a repeat's window; an answer has 0.5 s from its outcome to end; within 50 ms after an answer an idless 503 proves nothing for a keyed job, and an unsafe one goes on a connection that has rested.

--- a/pipitshed/decisions/interface.py
+++ b/pipitshed/decisions/interface.py
@@ -295,11 +295,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt of a job; a time-out of 0 lasts as long as the client waits."""
+    """Start an attempt of a job; a time-out of 0 lasts as long as the client waits. `write_within`: ms within
+    which a repeat is written, or not at all; 0 where it may be at any time."""
 
     job: int
     worker: WorkerId
     timeout: float = 0.0
+    write_within: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -413,6 +413,13 @@
                         Group.CELL: ("cell", first.worker.cell)}[cls.group]
         return free and in_time, scope, cls.group is Group.ALL and in_time
 
+    def _write_within(self, job: Job) -> float:
+        """What is left of the window in which a keyed job may be repeated: a connection may come up late."""
+        first = next((attempt for attempt in job.attempts if not attempt.unrun), None)
+        if job.cls.effect is not Effect.KEYED or first is None or first.sent_at == self.now:
+            return 0.0
+        return max(self.settings.tick, first.sent_at + job.cls.window - 2 * self.settings.tick - self.now)
+
     # ---- the failure probability
 
     def _turned_away(self) -> float:
@@ -522,7 +529,7 @@
         job.attempts.append(attempt)
         self.waiting.pop(job.id, None)
         worker.idle = max(0, worker.idle - 1) if now - worker.idle_at < self.settings.limits.idle_close else 0
-        self.actions.append(Send(job.id, worker.id))
+        self.actions.append(Send(job.id, worker.id, write_within=self._write_within(job)))
         if self.settings.tells_start:
             worker.unstarted += 1
             self._wake(job, now + self._bound(job))
--- a/pipitshed/egress/grpc_connection.py
+++ b/pipitshed/egress/grpc_connection.py
@@ -192,7 +192,8 @@
         most = min(STREAMS, self._http2.remote_settings.max_concurrent_streams)
         while self.queue and not self.leaving and not self.over and len(self.streams) < most:
             hop = self.queue.popleft()
-            if hop.over:
+            if not self.owner.core.may_begin(hop):
+                self.owner.core.hop_ended(hop, Outcome.CONNECT_FAILED)
                 continue
             try:
                 number = self._http2.get_next_available_stream_id()
--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -9,13 +9,15 @@
 
 import msgspec
 
-from pipitshed.decisions.interface import Limits, NoteKind, Outcome
+from pipitshed.decisions.interface import Effect, Limits, NoteKind, Outcome
 from pipitshed.exchange.core import Core
 from pipitshed.exchange.parties import EgressTarget, Hop
 from pipitshed.wire.http import BODY_LIMIT, BadAnswerError, Reader
 
 PROBE_TIMEOUT = 0.5  # s
 IDLE_SPARE = 0.1  # part of the planner's idle time by which a connection is closed ahead of it
+END_WITHIN = 0.5  # s from an outcome by which the answer that told it has ended
+REST = 0.05  # s after an answer in which a second one to the same request may still come
 LINE_LIMIT = 4 * BODY_LIMIT  # a result of 64 KiB may be longer in JSON
 
 HTTP2_SETTINGS = b"\0\0"  # a frame of less than 256 bytes; no HTTP/1.1 answer begins so
@@ -98,6 +100,8 @@
         self.left: EgressTarget | None = None  # whose hop left this connection free, as the decisions hold
         self._status = 0
         self._told = False  # the outcome of what this connection carries has been reported
+        self._ending: asyncio.TimerHandle | None = None  # an answer has to end by then
+        self.rested = 0.0  # loop time from which a late second answer is not to be feared
 
     # ---- what goes out
 
@@ -138,11 +142,15 @@
 
     def close(self) -> None:
         self._told = True
-        if self.idle_timer is not None:
-            self.idle_timer.cancel()
+        self._cancel_timers()
         if self._transport is not None:
             self._transport.abort()
 
+    def _cancel_timers(self) -> None:
+        for timer in (self.idle_timer, self._ending):
+            if timer is not None:
+                timer.cancel()
+
     # ---- what comes in
 
     def data_received(self, data: bytes) -> None:
@@ -156,11 +164,19 @@
                 self._carrier.on_wrong_interface(self.hop.target)
             self._end(Outcome.RESET)
             self.close()
+            return
+        if self.hop is None and self.probed is None:
+            # Guards the next request against the rest of an answer that nobody asked for.
+            if self._reader.begun:
+                self.close()
+        elif self._told and self._ending is None:
+            # Guards the descriptors against an answer whose end never comes: the hop is over, and with it the
+            # timer that would have ended this connection.
+            self._ending = self._carrier.loop.call_later(END_WITHIN, self.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._end(Outcome.CONNECT_FAILED if self._unwritten else Outcome.RESET)
-        if self.idle_timer is not None:
-            self.idle_timer.cancel()
+        self._cancel_timers()
         if self.left is not None:
             self._carrier.core.link_lost(self.left)
         self._carrier.lost(self)
@@ -183,8 +199,8 @@
             line = _decode_line(text)
         except msgspec.DecodeError:
             raise BadAnswerError("a line is not JSON") from None
-        if line.id and line.id != hop.exchange.request.id:
-            raise BadAnswerError("a line is for another request")  # never serve what was made for another
+        if line.id != hop.exchange.request.id:
+            raise BadAnswerError("a line is not for this request")  # never serve what was made for another
         if line.state == "started":
             self._carrier.core.hop_noted(hop, NoteKind.STARTED)
         elif line.state == "running":
@@ -206,14 +222,22 @@
                 self._line(rest)
             self._end(Outcome.RESET)  # where no last object came
         elif self._status in (503, 504) and headers.get(b"x-not-run", b"").strip() == b"1":
-            self._end(Outcome.FULL, b"", report)
+            # Guards "never ran" against a second answer to the request before, which names no request.
+            late = self.hop is not None and self._carrier.loop.time() < self.rested and (
+                self._carrier.effect(self.hop) is not Effect.SAFE)
+            self._end(Outcome.RESET if late else Outcome.FULL, b"", report)
         elif self.probed is not None and self._status == 200:
             body = read_load(self._reader.buffer.take_all(), self._carrier.fields)
             self._end(Outcome.OK, b"", body or report)
         else:
             self._end(Outcome.ERROR, b"", report)
         self.hop = self.probed = None
-        if keep_alive and self.open:
+        if self._ending is not None:
+            self._ending.cancel()
+            self._ending = None
+        # An answer that came before the whole request was out leaves the rest of that request behind.
+        if keep_alive and self.open and not self._unwritten:
+            self.rested = self._carrier.loop.time() + REST
             self._carrier.free(self)
         else:
             self.close()
@@ -262,13 +286,17 @@
                     connection.idle_timer = self.loop.call_at(due, connection.close)
 
     def carry(self, hop: Hop) -> None:
-        connection = self._take(hop.target.address)
+        connection = self._take(hop.target.address, self.effect(hop) is Effect.UNSAFE)
         if connection is not None:
             self._write_hop(connection, hop)
         else:
             self.core.tally["connections"] += 1
             self._start(self._connect_for_hop(hop))
 
+    def effect(self, hop: Hop) -> Effect:
+        """What the hop's class allows where a job may have run."""
+        return self.core.settings.classes[hop.exchange.request.job_class].effect
+
     def drop(self, hop: Hop) -> bool:
         connection = hop.link
         if not isinstance(connection, _Connection):
@@ -297,10 +325,16 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _take(self, address: Address) -> _Connection | None:
-        idle = self._idle.get(address)
-        while idle:
-            connection = idle.pop()
+    def _take(self, address: Address, rested: bool = False) -> _Connection | None:
+        """The connection used last, where `rested` of those that have rested: for a job that must not run
+        twice, a second answer to the request before is neither a proof nor an end."""
+        idle = self._idle.get(address, [])
+        now = self.loop.time()
+        for place in range(len(idle) - 1, -1, -1):
+            connection = idle[place]
+            if rested and connection.rested > now:
+                continue
+            del idle[place]
             if connection.idle_timer is not None:
                 connection.idle_timer.cancel()
             if connection.open:
@@ -327,11 +361,13 @@
         connection = await self._connect(hop.target.address, max(0.001, timeout))
         if connection is None:
             self.core.hop_ended(hop, Outcome.CONNECT_FAILED)
-        elif hop.over:
-            # Called off while it was coming up: nothing was sent on it, so the next hop may use it.
-            self.free(connection)
-        else:
+        elif self.core.may_begin(hop):
             self._write_hop(connection, hop)
+        else:
+            # Called off while it was coming up, or not to be written any more: nothing was sent on it, so the
+            # next hop may use it.
+            self.free(connection)
+            self.core.hop_ended(hop, Outcome.CONNECT_FAILED)
 
     async def _probe(self, target: EgressTarget) -> None:
         begun = self.loop.time()
--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -198,6 +198,11 @@
         self.ended[how, exchange.request.job_class] += 1
         if exchange.guard is not None:
             exchange.guard.cancel()
+        # Guards against an attempt that begins after the end: what waits for a connection, a stream or a
+        # worker is dropped, also where the decisions may not call off what runs.
+        for hop in exchange.hops:
+            if not hop.over and not hop.ran:
+                self._stop(hop, Outcome.CANCELLED)
         self._forget(exchange)
         return exchange
 
@@ -244,10 +249,18 @@
             return
         body = exchange.request.body if prepared is None else prepared.bodies[target.interface]
         hop = Hop(exchange, len(exchange.hops), target, now, deadline, body)
+        if action.write_within > 0:
+            hop.write_by = now + action.write_within / 1000
         exchange.hops.append(hop)
         hop.timer = self._loop.call_at(deadline, self.give_up, hop)
         target.carrier.carry(hop)
 
+    def may_begin(self, hop: Hop) -> bool:
+        """Whether a hop that waited for its connection may be written now. Guards against what came while it
+        waited: its client's end, the drain or end of its planner, the end of a repeat's window."""
+        return not (hop.over or hop.exchange.settled or self.routes.leaving(hop.target.id)
+                    or monotonic() >= hop.write_by)
+
     def written(self, hop: Hop) -> None:
         """The carrier has written the hop's last byte."""
         self.sends[hop.exchange.request.job_class] += 1
--- a/pipitshed/exchange/parties.py
+++ b/pipitshed/exchange/parties.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -127,6 +128,7 @@
     sent_at: float  # loop time
     deadline: float  # loop time
     body: bytes = b""  # in the target's form
+    write_by: float = math.inf  # loop time after which it must not be written: a repeat's window is over
     ran: bool = False  # set by the carrier once it may have run
     outcome: Outcome | None = None
     timer: asyncio.TimerHandle | None = None
--- a/pipitshed/exchange/route_table.py
+++ b/pipitshed/exchange/route_table.py
@@ -21,12 +21,17 @@
         self._held: dict[WorkerId, float] = {}  # said itself that it drains: the start for which that holds
         self._planned: dict[WorkerId, tuple[float, ...]] | None = None  # a plan's weights by class
         self._interfaces: frozenset[int] | None = None
+        self._leaving: set[WorkerId] = set()  # told of as draining or gone, and not of anything since
         self.on_interfaces: Callable[[], None] = lambda: None  # another set of interfaces is listed
 
     def target(self, worker: WorkerId) -> EgressTarget | None:
         """Where a hop to this planner goes; also when it has left the list."""
         return self._targets.get(worker)
 
+    def leaving(self, worker: WorkerId) -> bool:
+        """Whether the last that was told of this planner is that it drains or has gone."""
+        return worker in self._leaving
+
     def ready(self) -> int:
         """How many are listed as ready."""
         return sum(entry.state is State.READY for listed in self._listed.values()
@@ -64,6 +69,8 @@
 
     def _tell(self, news: ListNews) -> None:
         before, self._interfaces = self._interfaces, None
+        for entry in news.entries:
+            (self._leaving.discard if entry.state is State.READY else self._leaving.add)(entry.worker)
         self._post(news)
         if before is not None and before != self.interfaces():
             self.on_interfaces()
--- a/pipitshed/wire/http.py
+++ b/pipitshed/wire/http.py
@@ -10,6 +10,8 @@
 
 HEAD_LIMIT = 16 * 1024
 BODY_LIMIT = 64 * 1024
+LOOSE_LIMIT = HEAD_LIMIT + BODY_LIMIT  # bytes of an answer that are no part of its body, at one stretch
+INTERIM = 16  # answers of the kinds 1xx before the final one, and that one
 
 __all__ = ["BODY_LIMIT", "HEAD_LIMIT", "BadAnswerError", "Reader", "Taker"]
 
@@ -31,44 +33,53 @@
 class Reader:
     """Parses answers; the decoded body stands in `buffer`, and the taker uses it up."""
 
-    __slots__ = ("buffer", "headers", "_taker", "_parser", "_head")
+    __slots__ = ("buffer", "headers", "begun", "_taker", "_parser", "_in_head", "_loose", "_interim")
 
     def __init__(self, taker: Taker, limit: int) -> None:
         self.buffer = Buffer(limit)
         self.headers: dict[bytes, bytes] = {}
         self._taker = taker
-        self._head = 0  # bytes of a head that is not whole yet; -1 in a body
+        self.begun = False  # an answer has begun, and not ended
+        self._in_head = False
+        self._loose = 0  # bytes since the last part of a body: heads, trailers, framing
+        self._interim = 0  # answers before the final one
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
         """Parse; BadAnswerError where it can't be."""
-        # Guards against a peer that sends a head without end: the parser itself would keep it all.
-        if self._head >= 0:
-            self._head += len(data)
-            if self._head > HEAD_LIMIT + BODY_LIMIT:
-                raise BadAnswerError("the head is too long")
+        self._loose += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, TooLongError) as error:
             raise BadAnswerError(str(error)) from None
+        # Guards against a peer that sends a head, trailers or framing without end: the parser keeps it all.
+        if self._loose > LOOSE_LIMIT:
+            raise BadAnswerError("the head or the framing is too long")
 
     def on_message_begin(self) -> None:
-        self._head = 0
+        self.begun = True
+        self._interim += 1
+        if self._interim > INTERIM:
+            raise BadAnswerError("too many answers before the final one")
         self.headers.clear()
         self.buffer.take_all()
+        self._in_head = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers[name.lower()] = value
+        if self._in_head:  # a trailer: what the head said stands
+            self.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
-        self._head = -1
+        self._in_head = False
         self._taker.head_came(self._parser.get_status_code())
 
     def on_body(self, data: bytes) -> None:
+        self._loose = 0
         self.buffer.append(data)
         self._taker.body_came()
 
     def on_message_complete(self) -> None:
-        self._head = 0
+        self.begun = False
         if self._parser.get_status_code() >= 200:
+            self._interim = self._loose = 0
             self._taker.answer_ended(self._parser.should_keep_alive())
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,232 @@
+"""What comes while a connection to a planner comes up, and answers that break off, double or never end: the
+carrier alone, between a core and scripted planners on sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
+from unittest.mock import Mock
+
+import pytest
+from helpers import entries, settings
+from loopback import Peer, Planner, Reader, Run, Writer, story
+
+from pipitshed.decisions.interface import (
+    Effect, Event, Finished, JobClass, Limits, ListKind, Outcome, Send, State, Submitted)
+from pipitshed.egress.http import HttpCarrier
+from pipitshed.exchange.core import Core
+from pipitshed.exchange.parties import EgressTarget, Exchange, Request
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class Rig:
+    """A core whose events are heard, and whose decisions are the test's own."""
+
+    def __init__(self, effect: Effect = Effect.SAFE) -> None:
+        loop = asyncio.get_running_loop()
+        classes = (JobClass(aim=1000.0, deadline=9000.0, effect=effect, window=5000.0),)
+        self.core = Core(settings(classes=classes, limits=Limits(cancel=False, max_attempts=3)), 1, loop)
+        self.core.post = self._heard  # type: ignore[method-assign]
+        self.carrier = HttpCarrier(self.core, [], loop)
+        self.ended: asyncio.Queue[Finished] = asyncio.Queue()
+
+    def _heard(self, event: Event) -> None:
+        if isinstance(event, Finished):
+            self.ended.put_nowait(event)
+        assert not isinstance(event, Submitted) or event.job
+
+    def lists(self, port: int, state: State = State.READY) -> None:
+        [entry] = entries(1)
+        target = EgressTarget(entry.worker, self.carrier, ("127.0.0.1", port))
+        self.core.routes.fill("test", ListKind.DELTA, 1, [(replace(entry, state=state), target)])
+        self.worker = entry.worker
+
+    def take(self, name: str = "a1", body: bytes = b"pallets") -> Exchange:
+        return self.core.take(Request(name, 0, 9000.0, 0, body, "k-" + name), Mock())
+
+    def send(self, exchange: Exchange, write_within: float = 0.0) -> None:
+        self.core._carry_out(Send(exchange.number, self.worker, write_within=write_within))
+
+    async def outcome(self) -> Outcome:
+        return (await self.ended.get()).outcome
+
+
+@contextlib.asynccontextmanager
+async def late_connections() -> AsyncIterator[Callable[[], None]]:
+    """Connections come up when the test says so; entered, it waits for nothing."""
+    loop = asyncio.get_running_loop()
+    gate, create = asyncio.Event(), loop.create_connection
+
+    async def late(*told: object, **more: object) -> object:
+        await gate.wait()
+        return await create(*told, **more)  # type: ignore[arg-type, call-overload]
+
+    loop.create_connection = late  # type: ignore[method-assign, assignment]
+    try:
+        yield gate.set
+    finally:
+        loop.create_connection = create  # type: ignore[method-assign]
+
+
+@pytest.mark.parametrize("crossing", ["the client goes", "the planner drains", "the planner goes",
+                                      "the window ends"])
+def test_nothing_is_written_on_a_connection_that_comes_up_too_late(crossing: str) -> None:
+    """It used to be written however late, unless it had been called off, which not all settings permit."""
+    @story
+    async def run() -> None:
+        async with Planner("p1") as planner, late_connections() as up:
+            rig = Rig(Effect.KEYED)
+            rig.lists(planner.port)
+            exchange = rig.take("a1")
+            rig.send(exchange, 30.0 if crossing == "the window ends" else 0.0)
+            if crossing == "the client goes":
+                rig.core.withdraw(exchange)
+            elif crossing == "the window ends":
+                loop = asyncio.get_running_loop()
+                passed = asyncio.Event()
+                loop.call_at(exchange.hops[0].write_by + 0.001, passed.set)
+                await passed.wait()
+            else:
+                rig.lists(planner.port, State.DRAINING if "drains" in crossing else State.GONE)
+            up()
+            assert await rig.outcome() is Outcome.CONNECT_FAILED
+            rig.lists(planner.port)
+            other = rig.take("a2")
+            rig.send(other)
+            assert await rig.outcome() is Outcome.OK
+            assert [run.headers["x-request-id"] for run in planner.runs] == ["a2"]
+            if crossing != "the client goes":
+                rig.core.withdraw(exchange)
+            assert not rig.core._exchanges
+    run()
+
+
+class Script(Peer):
+    """A planner that answers each request with bytes of the test's."""
+
+    def __init__(self, *answers: bytes) -> None:
+        self.answers = list(answers)
+        self.ends: asyncio.Queue[int] = asyncio.Queue()
+
+    async def serve(self, reader: Reader, writer: Writer) -> None:
+        number = len(self.writers)
+        try:
+            while self.answers:
+                await reader.readuntil(b"pallets")
+                writer.write(self.answers.pop(0))
+            await reader.read()
+        finally:
+            self.ends.put_nowait(number)
+
+
+def line(text: str) -> bytes:
+    data = text.encode() + b"\n"
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+DONE = line('{"id":"a1","state":"done","result":"served"}')
+END = b"0\r\n\r\n"
+NOT_RUN = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+@story
+async def test_an_answer_whose_end_never_comes_costs_its_connection_soon() -> None:
+    """`done` had been read, so the hop was over, and no timer was left to end the connection."""
+    async with Script(CHUNKED + DONE) as planner:
+        rig = Rig()
+        rig.lists(planner.port)
+        rig.send(rig.take())
+        assert await rig.outcome() is Outcome.OK
+        began = asyncio.get_running_loop().time()
+        await planner.ends.get()
+        assert asyncio.get_running_loop().time() - began < 1.0
+        assert not rig.carrier._idle.get(("127.0.0.1", planner.port))
+
+
+@pytest.mark.parametrize("name, text", [
+    ("trailers", CHUNKED + line('{"id":"a1","state":"started"}') + b"0\r\n" + b"X-More: more\r\n" * 40_000),
+    ("one trailer", CHUNKED + b"0\r\nX-More: " + b"more" * 25_000),
+    ("a head", b"HTTP/1.1 200 OK\r\n" + b"X-More: more\r\n" * 8000),
+    ("interim answers", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+    ("framing", CHUNKED + b"5;" + b"x" * 100_000),
+    ("a line without an id", CHUNKED + line('{"state":"done","result":"whose?"}') + END),
+    ("another's line", CHUNKED + line('{"id":"a0","state":"done","result":"theirs"}') + END)])
+def test_an_answer_that_never_ends_or_is_not_this_requests_is_a_reset(name: str, text: bytes) -> None:
+    """Bad bytes from a planner: the outcome by the protocol's table, the connection never used again."""
+    @story
+    async def run() -> None:
+        async with Script(text) as planner:
+            rig = Rig()
+            rig.lists(planner.port)
+            rig.send(rig.take())
+            assert await rig.outcome() is Outcome.RESET, name
+            assert await planner.ends.get() == 1
+    run()
+
+
+@pytest.mark.parametrize("effect, outcome, connections", [
+    (Effect.SAFE, Outcome.FULL, 1), (Effect.KEYED, Outcome.RESET, 1), (Effect.UNSAFE, Outcome.OK, 2)])
+def test_a_late_second_answer_is_no_proof_that_the_next_job_never_ran(
+        effect: Effect, outcome: Outcome, connections: int) -> None:
+    """A 503 names no request. One that comes just after the next request was written would be "never ran" of
+    a job that runs: for a keyed one it says nothing; what must not run twice goes on another connection."""
+    @story
+    async def run() -> None:
+        def act(run: Run) -> None:
+            if run.headers["x-request-id"] == "a2" and len(planner.writers) == 1:
+                run.writer.write(NOT_RUN)  # crosses: the second answer to `a1`
+                run.ended.set()
+            else:
+                run.serve()
+
+        class Late(Planner):
+            async def serve(self, reader: Reader, writer: Writer) -> None:
+                if len(self.writers) > 1:
+                    await super().serve(reader, writer)
+                    return
+                await reader.readuntil(b"pallets")
+                writer.write(CHUNKED + DONE + END)
+                await reader.readuntil(b"pallets")
+                writer.write(NOT_RUN)
+                await reader.read()
+
+        async with Late("p1", act=act) as planner:
+            rig = Rig(effect)
+            rig.lists(planner.port)
+            rig.send(rig.take("a1"))
+            assert await rig.outcome() is Outcome.OK
+            rig.send(rig.take("a2"))
+            assert await rig.outcome() is outcome and len(planner.writers) == connections
+    run()
+
+
+@story
+async def test_half_a_second_answer_behind_the_first_ends_the_connection() -> None:
+    """In one segment with the first answer's end: the rest of it would have met the next request."""
+    async with Script(CHUNKED + DONE + END + NOT_RUN[:20], CHUNKED + DONE + END) as planner:
+        rig = Rig()
+        rig.lists(planner.port)
+        rig.send(rig.take("a1"))
+        assert await rig.outcome() is Outcome.OK
+        assert await planner.ends.get() == 1
+
+
+@story
+async def test_an_answer_before_the_whole_request_is_out_ends_the_connection() -> None:
+    """The rest of that request would stand before the next one."""
+    class Hasty(Peer):
+        async def serve(self, reader: Reader, writer: Writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.transport.pause_reading()
+            writer.write(NOT_RUN)
+            await asyncio.get_running_loop().create_future()
+
+    async with Hasty() as planner:
+        rig = Rig()
+        rig.lists(planner.port)
+        rig.send(rig.take("a1", bytes(32 * 1024 * 1024)))
+        assert await rig.outcome() is Outcome.FULL
+        assert not rig.carrier._idle.get(("127.0.0.1", planner.port))
