The door: a client that goes is seen to go, an answer outlives a close

Need: no attempt, first or further, begins over 0.1 s after a client has closed; bytes that arrive in the instant of a close cost no answer; idle clients and floods leave hops and discovery their descriptors.

Read, and probed by clients that act between two steps (tests/test_rare_moments.py): (1) _Connection.on_message_complete rested reading behind eight requests that waited, and pause_writing behind unread answers, while _next went on taking them: the client's end was not seen, and they were sent on; (2) a close behind the last answer reset the connection when bytes came behind the request, and a slow client lost the rest of its answer; only the error path lingered; (3) connections closed were taken off the table, so the end did not wait for answers on their way; (4) Listener._accept took the whole backlog before any of it was counted; (5) a Gearman client's keyed job, which goes on when its client has gone, got further attempts.

Change: reading goes on; requests beyond eight that wait are refused in their turn, a flood of 256 ends the connection with an answer to each; nothing is taken while answers are unread, for 10 s at most; each close shuts the sending side, reads on and throws away for 0.5 s (0.2 s at the end) and the end waits for it; sixteen accepts a turn, those under way counted; `Core.orphan` lets what runs go on and no attempt begin.

--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -286,7 +286,7 @@
                     connection.idle_timer = self.loop.call_at(due, connection.close)
 
     def carry(self, hop: Hop) -> None:
-        connection = self._take(hop.target.address, self.effect(hop) is Effect.UNSAFE)
+        connection = self._take(hop.target.address)
         if connection is not None:
             self._write_hop(connection, hop)
         else:
@@ -325,16 +325,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _take(self, address: Address, rested: bool = False) -> _Connection | None:
-        """The connection used last, where `rested` of those that have rested: for a job that must not run
-        twice, a second answer to the request before is neither a proof nor an end."""
-        idle = self._idle.get(address, [])
-        now = self.loop.time()
-        for place in range(len(idle) - 1, -1, -1):
-            connection = idle[place]
-            if rested and connection.rested > now:
-                continue
-            del idle[place]
+    def _take(self, address: Address) -> _Connection | None:
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
             if connection.idle_timer is not None:
                 connection.idle_timer.cancel()
             if connection.open:
--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -182,6 +182,18 @@
         if self._settle(exchange.number, "withdrawn"):
             self.post(Withdrawn(exchange.number))
 
+    def orphan(self, exchange: Exchange) -> None:
+        """The clients have gone, but what runs must not run anew: it goes on, and no attempt begins."""
+        exchange.orphan = True
+        self._drop_unrun(exchange)
+
+    def _drop_unrun(self, exchange: Exchange) -> None:
+        """Drop what still waits for a connection, a stream or a worker, also where the decisions may not call
+        off what runs."""
+        for hop in exchange.hops:
+            if not hop.over and not hop.ran:
+                self._stop(hop, Outcome.CANCELLED)
+
     def _overdue(self, exchange: Exchange) -> None:
         if self._settle(exchange.number, "overdue"):
             log.warning("exchange %d had no answer at its deadline", exchange.number)
@@ -198,11 +210,7 @@
         self.ended[how, exchange.request.job_class] += 1
         if exchange.guard is not None:
             exchange.guard.cancel()
-        # Guards against an attempt that begins after the end: what waits for a connection, a stream or a
-        # worker is dropped, also where the decisions may not call off what runs.
-        for hop in exchange.hops:
-            if not hop.over and not hop.ran:
-                self._stop(hop, Outcome.CANCELLED)
+        self._drop_unrun(exchange)  # no attempt begins after the end
         self._forget(exchange)
         return exchange
 
@@ -229,6 +237,8 @@
 
     def _send(self, action: Send) -> None:
         exchange = self._exchanges.get(action.job)
+        if exchange is not None and exchange.orphan and self._settle(action.job, "failed"):
+            exchange.client.failed()
         target = self.routes.target(action.worker)
         now = monotonic()
         if exchange is None or exchange.settled or target is None or now >= exchange.deadline or (
@@ -258,7 +268,8 @@
     def may_begin(self, hop: Hop) -> bool:
         """Whether a hop that waited for its connection may be written now. Guards against what came while it
         waited: its client's end, the drain or end of its planner, the end of a repeat's window."""
-        return not (hop.over or hop.exchange.settled or self.routes.leaving(hop.target.id)
+        exchange = hop.exchange
+        return not (hop.over or exchange.settled or exchange.orphan or self.routes.leaving(hop.target.id)
                     or monotonic() >= hop.write_by)
 
     def written(self, hop: Hop) -> None:
--- a/pipitshed/exchange/ledger.py
+++ b/pipitshed/exchange/ledger.py
@@ -79,6 +79,8 @@
         entry = self._entries.get(key) if key is not None else None
         if entry is not None and not entry.ended:
             entry.clients.append(client)
+            if entry.exchange is not None:
+                entry.exchange.orphan = False
             for kind, share in entry.notes.items():
                 client.noted(kind, share)
         elif entry is not None:
@@ -98,7 +100,9 @@
         client that comes back finds its result; all else ends with its last client."""
         if client in entry.clients:
             entry.clients.remove(client)
-            if not entry.clients and entry.exchange is not None and not self._once(entry):
+            if not entry.clients and entry.exchange is not None and self._once(entry):
+                self._core.orphan(entry.exchange)
+            elif not entry.clients and entry.exchange is not None:
                 self._core.withdraw(entry.exchange)
                 entry.ended = True
                 self.ended(entry)
--- a/pipitshed/exchange/parties.py
+++ b/pipitshed/exchange/parties.py
@@ -108,6 +108,7 @@
     client: Client
     deadline: float  # loop time
     settled: bool = False
+    orphan: bool = False  # its clients have gone, and what runs goes on for one that comes back
     fault: bytes = b""  # what the last planner that failed said of it
     hops: list[Hop] = field(default_factory=list)
     guard: asyncio.TimerHandle | None = None
--- a/pipitshed/ingress/gearman.py
+++ b/pipitshed/ingress/gearman.py
@@ -115,11 +115,18 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._front.connections.pop(self, None)
+        self._gone()
+        if self.worker is not None:
+            self.worker.lost()
+
+    def eof_received(self) -> None:
+        """The peer has closed: it is gone at once, also where it has not read what stands before the end."""
+        self._gone()
+
+    def _gone(self) -> None:
         jobs, self._jobs = list(self._jobs), {}
         for job in jobs:
             self._front.withdraw(job)
-        if self.worker is not None:
-            self.worker.lost()
 
     def pause_writing(self) -> None:
         # Guards the memory limit against a peer that asks and does not read.
@@ -222,9 +229,10 @@
     def connection(self) -> _Connection:
         return _Connection(self)
 
-    def has_room(self) -> bool:
-        """Whether one more connection is within this front's part of the descriptors."""
-        return len(self.connections) < self._most
+    def has_room(self, pending: int) -> bool:
+        """Whether one more connection is within this front's part of the descriptors, beside so many that are
+        accepted and not up yet."""
+        return len(self.connections) + pending < self._most
 
     def handle(self) -> bytes:
         self._handles += 1
--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -21,12 +21,15 @@
 from pipitshed.wire.buffer import Buffer, TooLongError
 from pipitshed.wire.http import BODY_LIMIT, HEAD_LIMIT
 
-PIPELINED = 8  # requests that may wait behind one on a connection before reading stops
+PIPELINED = 8  # requests that may wait behind one on a connection; clients send one at a time
+FLOOD = 256  # of those beyond, each refused in its turn, after which the connection is ended
 FIRST_WITHIN = 2.5  # s from connecting by which the first request is whole: a bad client is owed an end in 3
 NEXT_WITHIN = 10.0  # s that a later one may take to come in
 MESSAGE_LIMIT = HEAD_LIMIT + 4 * BODY_LIMIT  # bytes of a request with its chunks' framing and its trailers
-LINGER = 0.5  # s for which more is read and thrown away after an error, so that the client can read it
+LINGER = 0.5  # s for which more is read and thrown away after the last answer, so that it can be read
 LINGER_BYTES = 1024 * 1024  # of it at most
+LINGER_ENDING = 0.2  # s of it where the program is about to end
+UNREAD_FOR = 10.0  # s that a client may leave its answers unread
 _encode = msgspec.json.encode
 OVER = 1.5  # times the part for clients from which new ones are turned away
 QUIET = 1.0  # s without a byte after which a request begun and not whole makes room before idle clients
@@ -167,7 +170,8 @@
         self._exchange: Exchange | None = None
         self._last = False  # nothing more is read
         self._refused = False  # as what came can't be
-        self._paused = self._clogged = False  # reading rests; answers are not read
+        self._clogged = False  # answers are not read: nothing more is taken, and reading rests
+        self._unread: asyncio.TimerHandle | None = None  # they must be read by then
 
     # ---- what comes in
 
@@ -177,9 +181,22 @@
         self._front.came(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._front.connections.pop(self, None)
-        self._front.unproven.pop(self, None)
+        self._front.forget(self)
+        self._front.closing.pop(self, None)
         self._in_time()
+        if self._unread is not None:
+            self._unread.cancel()
+        self._gone()
+
+    def eof_received(self) -> None:
+        """The client has closed: it is gone at once, also where an answer that it has not read stands before
+        the end of this connection."""
+        self._gone()
+        self.close()
+
+    def _gone(self) -> None:
+        """Nobody waits here any more: nothing is owed, and nothing begins."""
+        self._last = True
         self._waiting.clear()
         if self._exchange is not None:
             exchange, self._exchange = self._exchange, None
@@ -187,24 +204,20 @@
             self._front.core.withdraw(exchange)
 
     def pause_writing(self) -> None:
-        # Guards the memory limit against a client that asks on and does not read its answers.
+        # Guards the memory limit against a client that asks on and does not read its answers. Nothing is
+        # taken while reading rests, as the end of the client would not be seen.
         self._clogged = True
-        self._stop_reading()
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+            self._unread = self._front.loop.call_later(UNREAD_FOR, self._transport.abort)
 
     def resume_writing(self) -> None:
         self._clogged = False
-        self._read_on()
-
-    def _stop_reading(self) -> None:
-        if self._transport is not None and not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
-
-    def _read_on(self) -> None:
-        if self._paused and self._transport is not None and not self._transport.is_closing() and (
-                not self._clogged and len(self._waiting) <= PIPELINED):
-            self._paused = False
+        if self._unread is not None:
+            self._unread.cancel()
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
+            self._next()
 
     def _in_time(self) -> None:
         if self._due is not None:
@@ -223,13 +236,13 @@
         if self._begun:
             self._refuse_to_read(408)
         else:
-            self.close()
+            self.drop()
 
     def data_received(self, data: bytes) -> None:
         if self._last:
             self._size += len(data)
-            if self._size > LINGER_BYTES:
-                self.close()
+            if self._size > LINGER_BYTES and self._transport is not None:
+                self._transport.abort()
             return
         self.heard = self._front.loop.time()
         if self in self._front.unproven:
@@ -308,11 +321,24 @@
             self._waiting.append(404 if not ready else 200 if self._front.ready else 503)
         elif verb != b"POST":
             self._waiting.append(405)
+        elif len(self._waiting) >= PIPELINED:
+            # Guards memory, and the sight of the client's end: reading goes on, and a number takes no room.
+            self._waiting.append(503)
+            if len(self._waiting) >= FLOOD:
+                self._flood()
         else:
             self._waiting.append(self._front.reading.request(verb, self._resource, self._headers, body))
         self._next()
-        if len(self._waiting) > PIPELINED:
-            self._stop_reading()
+
+    def _flood(self) -> None:
+        """End a connection whose client sends on and on: all that it has asked is answered at once."""
+        for place, _ in enumerate(self._waiting):
+            self._waiting[place] = 503
+        self._last = self._refused = True
+        if self._exchange is not None:
+            exchange = self._exchange
+            self._front.core.withdraw(exchange)
+            self._write(500 if exchange.may_have_run else 503)
 
     # ---- what goes out
 
@@ -328,9 +354,9 @@
 
     def _next(self) -> None:
         """Take the request that is next in order."""
-        while self._exchange is None and self._waiting and self._transport is not None:
+        while self._exchange is None and self._waiting and not self._clogged and (
+                self._transport is not None and not self._transport.is_closing()):
             first = self._waiting.popleft()
-            self._read_on()
             if isinstance(first, int):
                 self._write(first)
             elif first.id in self._front.open_ids:
@@ -353,13 +379,8 @@
         close = "Connection: close\r\n" if final else ""
         transport.write(f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}\r\n"
                         f"Content-Length: {len(body)}\r\n{extra}{close}\r\n".encode() + body)
-        if final and self._refused and not transport.is_closing():
-            # Guards the error's way to the client: a close with bytes unread would reset the connection.
-            transport.write_eof()
-            self._in_time()
-            self._due = self._front.loop.call_later(LINGER, self.close)
-        elif final:
-            transport.close()
+        if final:
+            self.close()
 
     def served(self, result: bytes) -> None:
         self._write(200, result)
@@ -388,10 +409,34 @@
         """The platform's clients wait for the answer alone."""
 
     def close(self) -> None:
+        """End it behind what is written. What still comes is read and thrown away for a moment: a close with
+        bytes unread would reset the connection, and the answers before it would be lost; what is read after
+        the shutdown is never taken."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or self in self._front.closing:
+            return
+        self._front.forget(self)
+        self._front.closing[self] = None
+        self._last = True
+        self._size = 0
+        if self._clogged:
+            transport.resume_reading()
+        transport.write_eof()
+        self._in_time()
+        self._due = self._front.loop.call_later(self._front.linger, self._end)
+
+    def _end(self) -> None:
+        if self._transport is not None and self._transport.get_write_buffer_size() == 0:
+            self._transport.abort()
+        elif self._transport is not None:
+            # Its last answers are on their way to a slow client.
+            self._due = self._front.loop.call_later(UNREAD_FOR, self._transport.abort)
+
+    def drop(self) -> None:
+        """End it at once, as its descriptor is needed: it is idle, or has sent nothing whole."""
         # Guards against room that is made twice by one connection: until its end is told, it would stand
         # first among those that make room, for every new one that comes in the same turn.
-        self._front.connections.pop(self, None)
-        self._front.unproven.pop(self, None)
+        self._front.forget(self)
         if self._transport is not None:
             self._transport.close()
 
@@ -407,6 +452,8 @@
         self.draining = False  # each answer says that its connection closes
         self.connections: dict[_Connection, None] = {}  # the last used last
         self.unproven: dict[_Connection, None] = {}  # no request was whole on these; heard longest ago first
+        self.closing: dict[_Connection, None] = {}  # answered; their answers may still be on the way
+        self.linger = LINGER
         self.open_ids: set[str] = set()
         self._most = most
 
@@ -421,7 +468,7 @@
         newcomer.heard = self.loop.time()
         self.connections[newcomer] = self.unproven[newcomer] = None
         if len(self.connections) > self._most and (victim := self._victim(newcomer)) is not None:
-            victim.close()
+            victim.drop()
 
     def _victim(self, newcomer: _Connection) -> _Connection | None:
         """Who makes room, of those on which no request was whole, heard of longest ago first: one that has
@@ -441,9 +488,15 @@
         del self.unproven[connection]
         self.unproven[connection] = None
 
-    def has_room(self) -> bool:
-        """Whether hops and discovery would keep the descriptors they need; busy clients make no room."""
-        return len(self.connections) < self._most * OVER
+    def has_room(self, pending: int) -> bool:
+        """Whether hops and discovery would keep the descriptors they need, with so many connections that are
+        accepted and not up yet; busy clients make no room."""
+        return len(self.connections) + len(self.closing) + pending < self._most * OVER
+
+    def forget(self, connection: _Connection) -> None:
+        """It carries no more requests."""
+        self.connections.pop(connection, None)
+        self.unproven.pop(connection, None)
 
     def used(self, connection: _Connection) -> None:
         """It has just carried an answer."""
--- a/pipitshed/ingress/listener.py
+++ b/pipitshed/ingress/listener.py
@@ -3,19 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import Callable
 
 ACCEPT_PAUSE = 0.05  # s after a failed accept
+AT_ONCE = 16  # connections accepted in one turn of the loop, so that those before are up and make room
 
 
 class Listener:
     """Accepts connections, whatever becomes of a single accept."""
 
     def __init__(self, address: tuple[str, int], factory: Callable[[], asyncio.Protocol],
-                 loop: asyncio.AbstractEventLoop, room: Callable[[], bool] = lambda: True,
+                 loop: asyncio.AbstractEventLoop, room: Callable[[int], bool] = lambda pending: True,
                  passed: int | None = None) -> None:
-        """Bind to `address`, or take the listening socket that the descriptor `passed` holds."""
+        """Bind to `address`, or take the listening socket that the descriptor `passed` holds. `room` tells
+        whether one more is taken beside so many that are accepted and not up yet."""
         if passed is not None:
             # Held by the platform and shared with another process: what stands in its queue is taken by
             # whichever accepts first, and closing here ends only this process's hold of it.
@@ -38,7 +41,12 @@
         loop.add_reader(self._socket, self._accept)
 
     def _accept(self) -> None:
-        while self._open:
+        # Guards the descriptors against a backlog taken in one turn, before any of it is counted.
+        self._take(AT_ONCE)
+
+    def _take(self, most: float) -> None:
+        while self._open and most > 0:
+            most -= 1
             try:
                 accepted, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError):
@@ -50,7 +58,7 @@
                 self._loop.remove_reader(self._socket)
                 self._loop.call_later(ACCEPT_PAUSE, self._resume)
                 return
-            if not self._room():
+            if not self._room(len(self._tasks)):
                 accepted.close()
                 continue
             accepted.setblocking(False)
@@ -70,7 +78,7 @@
     def close(self) -> None:
         """Take in what stands in the queue, then listen no more."""
         if self._open:
-            self._accept()
+            self._take(math.inf)
             self._open = False
             self._loop.remove_reader(self._socket)
             self._socket.close()
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -17,7 +17,7 @@
 from pipitshed.exchange.core import Core
 from pipitshed.exchange.trace import Trace
 from pipitshed.ingress.gearman import Function, GearmanFront
-from pipitshed.ingress.http import HttpFront, Reading
+from pipitshed.ingress.http import LINGER_ENDING, HttpFront, Reading
 from pipitshed.ingress.listener import Listener
 from pipitshed.mgmt.figures import Gauges, by_class, render
 from pipitshed.mgmt.front import MgmtFront
@@ -263,12 +263,14 @@
 
     def _send_away(self) -> None:
         self.front.draining = True
+        self.front.linger = LINGER_ENDING
         # A little later, what stood in the listeners' queues has its connection.
         self._loop.call_later(SETTLE, self._end_when_idle)
 
     def _end_when_idle(self) -> None:
         self.front.close_idle()
-        owed = self.front.connections or self.core.busy or (self.gearman is not None and self.gearman.busy)
+        owed = self.front.connections or self.front.closing or self.core.busy or (
+            self.gearman is not None and self.gearman.busy)
         # Guards against a client that never ends the request it has begun.
         if owed and self._loop.time() < self._end_by:
             self._loop.call_later(SETTLE, self._end_when_idle)
