A client whose end stands behind its request has gone; half-written requests go too

Need: no attempt begins over 0.1 s after a client has closed, also where the program stood still meanwhile.

Seen: the program stopped (SIGSTOP) while clients ask and close, on new, kept and Gearman connections; when it goes on, `gone0` and the others were sent on before their end was read: libuv reads the request in one turn and the end in the next, and the hand-over to the decisions came between (ingress data_received -> Core.take -> post). A request of which half was written went on being written where the settings permit no cancel (hop.ran was set before the last byte). Ruled out for timers and late connections: they run behind the poll that reads the end.

Change: a request is handed in one turn after it was read; `Core.written` alone says that a hop may have run, so that what is half out is dropped with its client. Gearman's close lingers like HTTP's, its client gone at once.

--- a/pipitshed/egress/gearman.py
+++ b/pipitshed/egress/gearman.py
@@ -105,7 +105,6 @@
         unique = (request.key or request.id).encode("latin-1", "replace")
         extra = {Kind.JOB_ASSIGN: (), Kind.JOB_ASSIGN_UNIQ: (unique,), Kind.JOB_ASSIGN_ALL: (unique, b"")}
         self.running[handle], hop.link = hop, handle
-        hop.ran = True
         self.link.write(pack(answer, handle, function.encode("latin-1"), *extra[answer], hop.body))
         core.written(hop)
         if limit := self.abilities.get(function, 0.0):
@@ -141,6 +140,8 @@
 
     def lost(self) -> None:
         """The connection has ended: what was assigned may have run, what waited never has."""
+        if self.gone:
+            return
         self.gone = True
         self.abilities.clear()
         self.carrier.list_worker(self)
--- a/pipitshed/egress/grpc_connection.py
+++ b/pipitshed/egress/grpc_connection.py
@@ -227,7 +227,6 @@
                 stream.written = last
         except h2.exceptions.ProtocolError:
             return  # the planner has ended it in this very turn: the event that says so follows
-        stream.hop.ran = True
         self.owner.core.written(stream.hop)
         self._unflushed.add(stream.number)
 
--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -376,7 +376,7 @@
         return connection if connection.open else None  # it may have been reset just now
 
     def _write_hop(self, connection: _Connection, hop: Hop) -> None:
-        connection.hop, hop.link, hop.ran = hop, connection, True
+        connection.hop, hop.link = hop, connection
         connection.left = None
         connection.write(request_bytes(hop, hop.deadline - self.loop.time(), self.classes))
 
--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -282,7 +282,8 @@
                     or monotonic() >= hop.write_by)
 
     def written(self, hop: Hop) -> None:
-        """The carrier has written the hop's last byte."""
+        """The carrier has written the hop's last byte: from now on it may have run."""
+        hop.ran = True
         self.sends[hop.exchange.request.job_class] += 1
 
     def give_up(self, hop: Hop) -> None:
--- a/pipitshed/exchange/parties.py
+++ b/pipitshed/exchange/parties.py
@@ -130,7 +130,7 @@
     deadline: float  # loop time
     body: bytes = b""  # in the target's form
     write_by: float = math.inf  # loop time after which it must not be written: a repeat's window is over
-    ran: bool = False  # set by the carrier once it may have run
+    ran: bool = False  # its last byte is written, or a worker has it: it may have run
     outcome: Outcome | None = None
     timer: asyncio.TimerHandle | None = None
     link: Any = None  # the carrier's own
--- a/pipitshed/ingress/gearman.py
+++ b/pipitshed/ingress/gearman.py
@@ -24,6 +24,7 @@
 from pipitshed.wire.gearman import HEAD, PACKET_LIMIT, Kind, PacketError, pack, requests
 from pipitshed.wire.http import BODY_LIMIT
 
+LINGER = 0.5  # s for which more is read and thrown away after the last packet
 UNREAD_LIMIT = 1024 * 1024  # bytes that a peer may leave unread before its connection is closed
 
 MOST_JOBS = 4096  # open at once
@@ -106,6 +107,7 @@
         self._buffer = Buffer(HEAD.size + PACKET_LIMIT + 256 * 1024)  # a read, and a packet begun before it
         self._transport: asyncio.Transport | None = None
         self._jobs: dict[_Job, None] = {}
+        self._closing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -133,6 +135,8 @@
         self.abort()
 
     def data_received(self, data: bytes) -> None:
+        if self._closing:
+            return
         try:
             self._buffer.append(data)
             for request in requests(self._buffer):
@@ -183,12 +187,14 @@
             if waits:
                 self._jobs[job] = None
             self.write(pack(Kind.JOB_CREATED, job.handle))
-            self._front.submit(job, known, function, body, priority)
+            self._front.jobs[job.handle] = job
+            # Guards against a job of a client that has gone already, as at the other front.
+            self._front.loop.call_soon(self._front.submit, job, known, function, body, priority)
 
     # ---- what goes out
 
     def write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is not None and not self._transport.is_closing() and not self._closing:
             self._transport.write(data)
 
     def ended(self, job: _Job) -> None:
@@ -200,8 +206,15 @@
         return not self._jobs and (self.worker is None or not self.worker.running)
 
     def close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
+        """End it behind what is written; what still comes is thrown away, as a close with bytes unread would
+        reset the connection, and the error before them would be lost."""
+        if self._transport is not None and not self._transport.is_closing() and not self._closing:
+            self._closing = True
+            self._transport.write_eof()
+            self._gone()
+            if self.worker is not None:
+                self.worker.lost()
+            self._front.loop.call_later(LINGER, self.abort)
 
     def abort(self) -> None:
         if self._transport is not None:
@@ -217,6 +230,7 @@
         self.core = core
         self.carrier = carrier
         self.functions = functions
+        self.loop = loop
         self.ledger = Ledger(core, loop)
         self.connections: dict[_Connection, None] = {}
         self.jobs: dict[bytes, _Job] = {}
@@ -239,11 +253,13 @@
         return b"H:%s:%d" % (self._label, self._handles)
 
     def submit(self, job: _Job, known: Function, function: bytes, body: bytes, priority: int) -> None:
-        """Hand a job in under its own handle. The unique id is the key; `-` stands for the job's data."""
+        """Hand a job in under its own handle, where its client is still there. The unique id is the key; `-`
+        stands for the job's data."""
+        if job.handle not in self.jobs:
+            return
         unique = job.unique
         if unique == b"-":
             unique = hashlib.sha256(function + b"\0" + body).hexdigest().encode()
-        self.jobs[job.handle] = job
         key = unique.decode("latin-1")
         request = Request(
             job.handle.decode("latin-1"), known.job_class, known.patience, known.tenant, body,
--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -169,7 +169,6 @@
         self._waiting: deque[Request | int] = deque()  # requests in order; a number is an answer's status
         self._exchange: Exchange | None = None
         self._last = False  # nothing more is read
-        self._refused = False  # as what came can't be
         self._clogged = False  # answers are not read: nothing more is taken, and reading rests
         self._unread: asyncio.TimerHandle | None = None  # they must be read by then
 
@@ -270,7 +269,7 @@
     def _refuse_to_read(self, status: int) -> None:
         """What came can't be read: say so behind the answers that are owed, then close."""
         if not self._last:
-            self._last = self._refused = True
+            self._last = True
             self._waiting.append(status)
             self._next()
 
@@ -328,13 +327,17 @@
                 self._flood()
         else:
             self._waiting.append(self._front.reading.request(verb, self._resource, self._headers, body))
+            # Guards against a request of a client that has gone already: its end, where it stands behind the
+            # request, is read in the turn between.
+            self._front.loop.call_soon(self._next)
+            return
         self._next()
 
     def _flood(self) -> None:
         """End a connection whose client sends on and on: all that it has asked is answered at once."""
         for place, _ in enumerate(self._waiting):
             self._waiting[place] = 503
-        self._last = self._refused = True
+        self._last = True
         if self._exchange is not None:
             exchange = self._exchange
             self._front.core.withdraw(exchange)
@@ -372,7 +375,7 @@
             self._exchange = None
             self._front.open_ids.discard(self._id)
         transport = self._transport
-        if transport is None or transport.is_closing():
+        if transport is None or transport.is_closing() or self in self._front.closing:
             return
         self._front.used(self)
         final = (self._last or self._front.draining) and not self._waiting
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -241,3 +241,35 @@
     link.write.assert_called_once_with(pack(Kind.NO_JOB))
     assert await rig.outcome() is Outcome.CONNECT_FAILED
     rig.core.withdraw(exchange)
+
+
+@story
+async def test_a_request_that_is_half_out_when_its_client_goes_is_not_finished() -> None:
+    """Its last byte would be an attempt's beginning, and nothing called it off where settings permit none."""
+    halted, read = asyncio.Event(), asyncio.Event()
+
+    class Halting(Peer):
+        async def serve(self, reader: Reader, writer: Writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.transport.pause_reading()
+            halted.set()
+            await read.wait()
+            writer.transport.resume_reading()
+            with contextlib.suppress(ConnectionError):
+                while data := await reader.read(1 << 20):
+                    got.append(len(data))
+            got.append(-1)
+
+    got: list[int] = []
+    async with Halting() as planner:
+        rig = Rig()
+        rig.lists(planner.port)
+        exchange = rig.take("a1", bytes(32 * 1024 * 1024))
+        rig.send(exchange)
+        await halted.wait()
+        rig.core.withdraw(exchange)
+        assert await rig.outcome() is Outcome.CONNECT_FAILED
+        read.set()
+        while not got or got[-1] >= 0:
+            await asyncio.sleep(0)
+        assert sum(got) < 32 * 1024 * 1024
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -69,6 +69,35 @@
         assert asked.count("a1") == 1
 
 
+@story
+async def test_a_request_that_is_read_after_its_client_has_gone_is_not_sent_on() -> None:
+    """The program stands still while clients ask and go, on new connections, kept ones and Gearman's: request
+    and end are there to be read at the same time, the request first."""
+    async with Planner("p1") as planner, program(planner, front=FRONT) as running:
+        kept, usual = await HttpClient.to(running.port), await HttpClient.to(running.port)
+        kept.ask("k0")
+        assert (await kept.answer())[0] == 200
+        gearman = await GearmanPeer.to(running.gearman_port)
+        gearman.say(Kind.ECHO_REQ, b"up")
+        await gearman.expect(Kind.ECHO_RES)
+        running.process.send_signal(signal.SIGSTOP)
+        new = [await HttpClient.to(running.port) for _ in range(4)]
+        for number, client in enumerate([kept, *new]):
+            client.ask(f"gone{number}")
+            client.writer.close()
+        gearman.say(Kind.SUBMIT_JOB, b"plan_quote", b"", b"gone")
+        gearman.writer.close()
+        for client in [kept, *new]:
+            await client.writer.wait_closed()
+        await gearman.writer.wait_closed()
+        running.process.send_signal(signal.SIGCONT)
+        for number in range(3):
+            usual.ask(f"a{number}")
+            assert (await usual.answer())[0] == 200
+        asked = [run.headers["x-request-id"] for run in planner.runs]
+        assert asked == ["k0", "a0", "a1", "a2"]
+
+
 @story
 async def test_a_gearman_client_that_has_gone_gets_no_further_attempt() -> None:
     """A keyed job that may have run goes on for one that comes back; when its planner loses it, it is not
