--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -47,8 +47,8 @@
 SLOTS = 4.0  # of a worker, as a guess, of which own started jobs take some
 LEFT_POWER = 24.0  # power of the part of its slots that own jobs leave, by which an untold draw stands
 CROWDED = 0.5  # part of a worker's slots, held before it, from which an untold draw found no room
-SHY_MS = 300.0  # a worker that had no room is passed over this long; doubles with each repeat
-SHY_DOUBLINGS = 5  # at most, so that a suspect worker is tried again by real jobs within seconds
+EJECTION_MS = 300.0  # a worker that had no room is passed over this long; doubles with each repeat
+EJECTION_DOUBLINGS = 5  # at most, so that a suspect worker is tried again by real jobs within seconds
 GOLDEN = 0.6180339887  # spreads by the job's number, evenly, what needs no draw from the generator
 DEAR_HANDSHAKE = 0.05  # price from which workers without an idle connection are passed over
 ASK_PART = 0.05  # first wait before the list is asked for, as a part of the time within which it must be
@@ -65,7 +65,7 @@
 class Worker:
     """What this dispatcher knows of one worker."""
 
-    __slots__ = ("id", "zone", "cell", "kind", "weight", "started_at", "ready", "unstarted", "shy_until",
+    __slots__ = ("id", "zone", "cell", "kind", "weight", "started_at", "ready", "unstarted", "ejected_until",
                  "strikes", "failing", "idle", "idle_at", "pace",
                  "pace_at", "held", "classes", "interface", "planned")
 
@@ -78,7 +78,7 @@
         self.ready = False
         self.unstarted = 0  # own jobs sent there that have not started
         self.held = 0.0  # slots that own jobs hold: those that started, all where no starts are told
-        self.shy_until = 0.0  # passed over until then
+        self.ejected_until = 0.0  # passed over until then
         self.strikes = self.failing = 0  # no room found in a row; errors, halved by each served job
         self.pace, self.pace_at = 0.0, -math.inf  # time a unit of work takes it, and when that was seen
         self.idle, self.idle_at = 0, -math.inf  # own open connections not in use, and since when
@@ -284,7 +284,7 @@
         if entry.started_at > worker.started_at:
             # A new start: what was held against the old process is void, and it is cold.
             worker.started_at = entry.started_at
-            worker.shy_until, worker.strikes = 0.0, 0
+            worker.ejected_until, worker.strikes = 0.0, 0
 
     def _group(self, scope: Scope) -> list[Worker]:
         if not self.groups:
@@ -346,7 +346,7 @@
     def _last_resort(self, worker: Worker) -> tuple[bool, float]:
         """Where each draw was doubted, the least held is taken, and one that fails jobs last: it ends them at
         once, so that it would be that least."""
-        return worker.failing > 0 and worker.shy_until > self.now, worker.held / self._size(worker)
+        return worker.failing > 0 and worker.ejected_until > self.now, worker.held / self._size(worker)
 
     def _connected(self, worker: Worker) -> bool:
         """Whether a send there needs no new connection, where that has a price."""
@@ -360,7 +360,7 @@
             worker.idle = max(0, worker.idle - 1)
 
     def _doubt(self, worker: Worker, job: Job) -> bool:
-        if worker.shy_until > self.now:
+        if worker.ejected_until > self.now:
             return True
         if worker.pace > SLOW * self.pace and self.now - worker.pace_at < PACE_AGE and (
                 self.rng.random() > self.pace / worker.pace):
@@ -603,12 +603,12 @@
     def _no_room(self, worker: Worker, full: bool = False) -> None:
         """A draw found no room: it counts in f, and the worker is passed over for a while."""
         self.window.add(self.now, True, full)
-        worker.shy_until = self.now + SHY_MS * 2 ** worker.strikes * self.rng.uniform(0.5, 1.5)
-        worker.strikes = min(worker.strikes + 1, SHY_DOUBLINGS)
+        worker.ejected_until = self.now + EJECTION_MS * 2 ** worker.strikes * self.rng.uniform(0.5, 1.5)
+        worker.strikes = min(worker.strikes + 1, EJECTION_DOUBLINGS)
 
     def _room(self, worker: Worker, late: bool = False) -> None:
         self.window.add(self.now, late)
-        worker.strikes, worker.shy_until = 0, 0.0
+        worker.strikes, worker.ejected_until = 0, 0.0
 
     def _pause(self, job: Job) -> None:
         """Wait a random while that grows with the failures, then go on."""
@@ -664,9 +664,9 @@
             # Guards against a worker that fails jobs fast: its connections come free at once and it drew
             # them to itself. It is passed over, longer with each error until it serves some; f is untouched,
             # so that it would allow its jobs no second attempt.
-            worker.failing = min(worker.failing + 1, 2 * SHY_DOUBLINGS)
-            spell = SHY_MS * 2 ** min(worker.failing, SHY_DOUBLINGS) * (0.5 + job.id * GOLDEN % 1.0)
-            worker.shy_until = max(worker.shy_until, self.now + spell)
+            worker.failing = min(worker.failing + 1, 2 * EJECTION_DOUBLINGS)
+            spell = EJECTION_MS * 2 ** min(worker.failing, EJECTION_DOUBLINGS) * (0.5 + job.id * GOLDEN % 1.0)
+            worker.ejected_until = max(worker.ejected_until, self.now + spell)
             job.failed += 1
         elif event.outcome is Outcome.RESET:
             # Guards against a job given up because a kept connection was stale or a worker died:
@@ -694,7 +694,7 @@
             if event.pushback is not None:
                 # Its worker knows better than a drawn pause when there will be room, or that there won't.
                 job.resume = max(job.resume, self.now + event.pushback)
-                worker.shy_until = max(worker.shy_until, job.resume)
+                worker.ejected_until = max(worker.ejected_until, job.resume)
                 if event.pushback < 0 or job.resume >= job.deadline:
                     self._close(job)
             self._step(job)
--- a/pipitshed/egress/__init__.py
+++ b/pipitshed/egress/__init__.py
@@ -1,1 +1,1 @@
-"""The carriers: they bring hops to egress targets and report one outcome for each."""
+"""The carriers: they bring attempts to endpoints and report one outcome for each."""
--- a/pipitshed/egress/gearman.py
+++ b/pipitshed/egress/gearman.py
@@ -1,4 +1,4 @@
-"""Hops to Gearman workers: a worker's connection is an egress target as long as it stands."""
+"""Attempts to Gearman workers: a worker's connection is an endpoint as long as it stands."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from pipitshed.decisions.interface import Entry, ListKind, NoteKind, Outcome, State
 from pipitshed.exchange.core import Core
-from pipitshed.exchange.parties import EgressTarget, Hop
+from pipitshed.exchange.parties import Endpoint, Attempt
 from pipitshed.wire.gearman import Kind, PacketError, pack
 
 SOURCE = "gearman workers"
@@ -40,16 +40,16 @@
 
 
 class Worker:
-    """One worker's connection: what it can do, the hops that wait for it, and the one it runs."""
+    """One worker's connection: what it can do, the attempts that wait for it, and the one it runs."""
 
     def __init__(self, carrier: GearmanCarrier, link: Link, number: int) -> None:
         self.carrier = carrier
         self.link = link
         self.name = "-"
-        self.target = EgressTarget(f"gearman-{number}".encode(), carrier, self)
+        self.target = Endpoint(f"gearman-{number}".encode(), carrier, self)
         self.abilities: dict[str, float] = {}  # function: seconds it may take, 0 for no limit
-        self.waiting: list[Hop] = []
-        self.running: dict[bytes, Hop] = {}
+        self.waiting: list[Attempt] = []
+        self.running: dict[bytes, Attempt] = {}
         self.data: dict[bytes, bytes] = {}  # WORK_DATA so far
         self.asleep = False
         self.listed = False
@@ -79,9 +79,9 @@
         elif kind is not Kind.ALL_YOURS:
             self._work(kind, arguments)
 
-    def add(self, hop: Hop) -> None:
-        """A hop waits for this worker from now on."""
-        self.waiting.append(hop)
+    def add(self, attempt: Attempt) -> None:
+        """An attempt waits for this worker from now on."""
+        self.waiting.append(attempt)
         self._wake()
 
     def _wake(self) -> None:
@@ -91,36 +91,36 @@
 
     def _grab(self, answer: Kind) -> None:
         self.asleep = False
-        for hop in [hop for hop in self.waiting if not self.carrier.core.may_begin(hop)]:
-            self.waiting.remove(hop)
-            self.carrier.core.hop_ended(hop, Outcome.CONNECT_FAILED)
+        for attempt in [attempt for attempt in self.waiting if not self.carrier.core.may_begin(attempt)]:
+            self.waiting.remove(attempt)
+            self.carrier.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
         if not self.waiting:
             self.link.write(pack(Kind.NO_JOB))
             return
-        hop = max(self.waiting, key=lambda one: one.exchange.request.priority)  # of equals the first
-        self.waiting.remove(hop)
-        core, request = self.carrier.core, hop.exchange.request
-        function = self.carrier.function(hop, self) or ""
+        attempt = max(self.waiting, key=lambda one: one.exchange.request.priority)  # of equals the first
+        self.waiting.remove(attempt)
+        core, request = self.carrier.core, attempt.exchange.request
+        function = self.carrier.function(attempt, self) or ""
         handle = self.carrier.handle()
         unique = (request.key or request.id).encode("latin-1", "replace")
         extra = {Kind.JOB_ASSIGN: (), Kind.JOB_ASSIGN_UNIQ: (unique,), Kind.JOB_ASSIGN_ALL: (unique, b"")}
-        self.running[handle], hop.link = hop, handle
-        self.link.write(pack(answer, handle, function.encode("latin-1"), *extra[answer], hop.body))
-        core.written(hop)
+        self.running[handle], attempt.link = attempt, handle
+        self.link.write(pack(answer, handle, function.encode("latin-1"), *extra[answer], attempt.body))
+        core.written(attempt)
         if limit := self.abilities.get(function, 0.0):
-            self.carrier.loop.call_later(limit, core.give_up, hop)
-        core.hop_noted(hop, NoteKind.STARTED)
+            self.carrier.loop.call_later(limit, core.give_up, attempt)
+        core.attempt_noted(attempt, NoteKind.STARTED)
 
     def _work(self, kind: Kind, arguments: list[bytes]) -> None:
         """News of a job, or its end. What comes for a job that is over here is passed over."""
         handle = arguments[0]
-        hop = self.running.get(handle)
-        if hop is None:
+        attempt = self.running.get(handle)
+        if attempt is None:
             return
         core = self.carrier.core
         if kind is Kind.WORK_STATUS:
             done, whole = (_count(argument) for argument in arguments[1:])
-            core.hop_noted(hop, NoteKind.PROGRESS, min(1.0, done / whole) if whole else 0.0)
+            core.attempt_noted(attempt, NoteKind.PROGRESS, min(1.0, done / whole) if whole else 0.0)
             return
         if kind is Kind.WORK_DATA:
             held = self.data.get(handle, b"") + arguments[1]
@@ -134,9 +134,9 @@
         del self.running[handle]
         data = self.data.pop(handle, b"")
         if kind is Kind.WORK_COMPLETE:
-            core.hop_ended(hop, Outcome.OK, data + arguments[1])
+            core.attempt_ended(attempt, Outcome.OK, data + arguments[1])
         else:
-            core.hop_ended(hop, Outcome.ERROR, arguments[1] if kind is Kind.WORK_EXCEPTION else b"")
+            core.attempt_ended(attempt, Outcome.ERROR, arguments[1] if kind is Kind.WORK_EXCEPTION else b"")
 
     def lost(self) -> None:
         """The connection has ended: what was assigned may have run, what waited never has."""
@@ -147,10 +147,10 @@
         self.carrier.list_worker(self)
         running, waiting = list(self.running.values()), self.waiting
         self.running, self.waiting = {}, []
-        for hop in running:
-            self.carrier.core.hop_ended(hop, Outcome.RESET)
-        for hop in waiting:
-            self.carrier.core.hop_ended(hop, Outcome.CONNECT_FAILED)
+        for attempt in running:
+            self.carrier.core.attempt_ended(attempt, Outcome.RESET)
+        for attempt in waiting:
+            self.carrier.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
 
 
 def _text(data: bytes) -> str:
@@ -191,11 +191,11 @@
     def handle(self) -> bytes:
         """A new job handle; those given to workers are none of those given to clients."""
         self._handles += 1
-        return b"H:pipitshed:hop:%d" % self._handles
+        return b"H:pipitshed:attempt:%d" % self._handles
 
-    def function(self, hop: Hop, worker: Worker) -> str | None:
-        """The name by which this worker knows the hop's work; None where it can't do it."""
-        request = hop.exchange.request
+    def function(self, attempt: Attempt, worker: Worker) -> str | None:
+        """The name by which this worker knows the attempt's work; None where it can't do it."""
+        request = attempt.exchange.request
         if request.function:
             return request.function if request.function in worker.abilities else None
         return next((function for function in worker.abilities
@@ -203,7 +203,7 @@
 
     def list_worker(self, worker: Worker) -> None:
         """Tell the route table what a worker can do now. One that can do nothing more is draining until
-        its connection ends; hops that wait for what it no longer does never ran."""
+        its connection ends; attempts that wait for what it no longer does never ran."""
         can = frozenset(self.classes[name] for name in worker.abilities if name in self.classes)
         state = State.GONE if worker.gone else State.READY if can else State.DRAINING
         if worker.gone:
@@ -214,37 +214,37 @@
             entry = Entry(worker.target.id, place.zone, place.cell, place.kind, place.weight, 0.0, state, can)
             self.core.routes.fill(SOURCE, ListKind.DELTA, 0, [(entry, worker.target)])
         if not worker.gone:
-            for hop in [hop for hop in worker.waiting if self.function(hop, worker) is None]:
-                worker.waiting.remove(hop)
-                self.core.hop_ended(hop, Outcome.FULL)
+            for attempt in [attempt for attempt in worker.waiting if self.function(attempt, worker) is None]:
+                worker.waiting.remove(attempt)
+                self.core.attempt_ended(attempt, Outcome.FULL)
 
     # ---- what the core asks
 
-    def carry(self, hop: Hop) -> None:
-        worker: Worker = hop.target.address
-        hop.ran = False
+    def carry(self, attempt: Attempt) -> None:
+        worker: Worker = attempt.target.address
+        attempt.ran = False
         if worker.gone:
-            self.core.hop_ended(hop, Outcome.CONNECT_FAILED)
-        elif self.function(hop, worker) is None:
-            self.core.hop_ended(hop, Outcome.FULL)
+            self.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
+        elif self.function(attempt, worker) is None:
+            self.core.attempt_ended(attempt, Outcome.FULL)
         else:
-            worker.add(hop)
+            worker.add(attempt)
 
-    def drop(self, hop: Hop) -> bool:
-        """A hop that waits leaves the queue. An assigned one can't be called off in this protocol: its
+    def drop(self, attempt: Attempt) -> bool:
+        """An attempt that waits leaves the queue. An assigned one can't be called off in this protocol: its
         worker's connection is closed, as a planner's is, so that no second attempt runs beside it."""
-        worker: Worker = hop.target.address
-        if hop in worker.waiting:
-            worker.waiting.remove(hop)
+        worker: Worker = attempt.target.address
+        if attempt in worker.waiting:
+            worker.waiting.remove(attempt)
             return False
-        if worker.running.pop(hop.link, None) is not None:
+        if worker.running.pop(attempt.link, None) is not None:
             worker.link.abort()
             return True
         return False
 
-    def probe(self, target: EgressTarget) -> None:
+    def probe(self, target: Endpoint) -> None:
         worker: Worker = target.address
         self.core.probe_ended(target, Outcome.CONNECT_FAILED if worker.gone else Outcome.OK, 0.0)
 
-    def close_idle(self, target: EgressTarget) -> None:
+    def close_idle(self, target: Endpoint) -> None:
         """A worker's one connection is its own to close."""
--- a/pipitshed/egress/grpc.py
+++ b/pipitshed/egress/grpc.py
@@ -1,4 +1,4 @@
-"""Hops to planners of interface 2: many on one HTTP/2 connection, each a stream.
+"""Attempts to planners of interface 2: many on one HTTP/2 connection, each a stream.
 
 The outcomes follow the table in docs/design/translation.md.
 """
@@ -16,7 +16,7 @@
 from pipitshed.egress.grpc_connection import Connection, Header, Stream
 from pipitshed.egress.http import IDLE_SPARE, Address
 from pipitshed.exchange.core import Core
-from pipitshed.exchange.parties import EgressTarget, Hop
+from pipitshed.exchange.parties import Endpoint, Attempt
 from pipitshed.wire.grpc import timeout_text
 
 _FIXED: list[Header] = [
@@ -31,9 +31,9 @@
 
     classes: Sequence[str]
 
-    def metadata(self, hop: Hop, left: float) -> list[Header]:
-        """The head of a hop's stream, which has `left` seconds."""
-        request = hop.exchange.request
+    def metadata(self, attempt: Attempt, left: float) -> list[Header]:
+        """The head of an attempt's stream, which has `left` seconds."""
+        request = attempt.exchange.request
         head = [*_FIXED, (b"x-class", self.classes[request.job_class].encode()),
                 NeverIndexedHeaderTuple(b"grpc-timeout", timeout_text(left)),
                 NeverIndexedHeaderTuple(b"x-request-id", request.id.encode("latin-1"))]
@@ -49,7 +49,7 @@
 
 
 class GrpcCarrier:
-    """One connection to each planner, opened when there is a hop for it."""
+    """One connection to each planner, opened when there is an attempt for it."""
 
     def __init__(self, core: Core, classes: Sequence[str], loop: asyncio.AbstractEventLoop,
                  keepalive: float) -> None:
@@ -57,8 +57,8 @@
         self.loop = loop
         self.metadata = Naming(classes).metadata
         self.keepalive = keepalive  # s of silence, with jobs out, before a sign of life is asked for
-        self.on_wrong_interface: Callable[[EgressTarget], None] = lambda target: None
-        self.on_drain: Callable[[EgressTarget], None] = lambda target: core.routes.hold(target.id)
+        self.on_wrong_interface: Callable[[Endpoint], None] = lambda target: None
+        self.on_drain: Callable[[Endpoint], None] = lambda target: core.routes.hold(target.id)
         limits = core.settings.limits
         self.connect_timeout = limits.connect_timeout / 1000
         self.idle_for = limits.idle_close / 1000 * (1 - IDLE_SPARE)
@@ -67,10 +67,10 @@
         self._all: set[Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def carry(self, hop: Hop) -> None:
-        self._connection(hop.target).add(hop)
+    def carry(self, attempt: Attempt) -> None:
+        self._connection(attempt.target).add(attempt)
 
-    def _connection(self, target: EgressTarget) -> Connection:
+    def _connection(self, target: Endpoint) -> Connection:
         """The one that takes new streams; it may still be coming up."""
         connection = self._connections.get(target.address)
         if connection is None:
@@ -80,19 +80,19 @@
             self._start(self._connect(connection))
         return connection
 
-    def drop(self, hop: Hop) -> bool:
-        link = hop.link
+    def drop(self, attempt: Attempt) -> bool:
+        link = attempt.link
         if isinstance(link, Stream):
             return link.connection.cancel(link)
         if isinstance(link, Connection):
-            link.forget(hop)
+            link.forget(attempt)
         return False
 
-    def probe(self, target: EgressTarget) -> None:
+    def probe(self, target: Endpoint) -> None:
         """Whether the planner is there: no load is told by this interface."""
         self._connection(target).probe()
 
-    def close_idle(self, target: EgressTarget) -> None:
+    def close_idle(self, target: Endpoint) -> None:
         connection = self._connections.get(target.address)
         if connection is not None and not connection.streams and not connection.queue:
             connection.close()
--- a/pipitshed/egress/grpc_connection.py
+++ b/pipitshed/egress/grpc_connection.py
@@ -1,4 +1,4 @@
-"""One HTTP/2 connection to a planner of interface 2, and the streams that carry hops on it.
+"""One HTTP/2 connection to a planner of interface 2, and the streams that carry attempts on it.
 
 Nothing of a request is written before the planner's SETTINGS have come: so a planner of the other interface,
 or one that can't be reached, proves that nothing ran.
@@ -21,7 +21,7 @@
 from pipitshed.decisions.interface import NoteKind, Outcome
 from pipitshed.egress.grpc_outcomes import by_status, pushback_of
 from pipitshed.exchange.core import Core
-from pipitshed.exchange.parties import EgressTarget, Hop
+from pipitshed.exchange.parties import Endpoint, Attempt
 from pipitshed.interfaces import planner_pb2
 from pipitshed.wire.grpc import MESSAGE_LIMIT, BadMessageError, Http2, frame, messages
 
@@ -49,23 +49,23 @@
     idle_for: float  # s
     probes: int
 
-    def metadata(self, hop: Hop, left: float) -> list[Header]: ...
+    def metadata(self, attempt: Attempt, left: float) -> list[Header]: ...
 
     def lost(self, connection: Connection) -> None: ...
 
-    def on_wrong_interface(self, target: EgressTarget, /) -> None: ...
+    def on_wrong_interface(self, target: Endpoint, /) -> None: ...
 
-    def on_drain(self, target: EgressTarget, /) -> None: ...
+    def on_drain(self, target: Endpoint, /) -> None: ...
 
 
 class Stream:
-    """One hop on its stream."""
+    """One attempt on its stream."""
 
-    __slots__ = ("connection", "hop", "number", "unsent", "buffer", "heard", "verdict", "result", "written",
-                 "timer")
+    __slots__ = ("connection", "attempt", "number", "unsent", "buffer", "heard", "verdict", "result",
+                 "written", "timer")
 
-    def __init__(self, connection: Connection, hop: Hop, number: int, body: bytes) -> None:
-        self.connection, self.hop, self.number = connection, hop, number
+    def __init__(self, connection: Connection, attempt: Attempt, number: int, body: bytes) -> None:
+        self.connection, self.attempt, self.number = connection, attempt, number
         self.unsent = memoryview(body)
         self.buffer = bytearray()
         self.heard = False  # a message has come
@@ -78,14 +78,14 @@
 class Connection(asyncio.Protocol):
     """One connection to one planner."""
 
-    def __init__(self, owner: Owner, target: EgressTarget) -> None:
+    def __init__(self, owner: Owner, target: Endpoint) -> None:
         self.target = target
         self.owner = owner
-        self.queue: deque[Hop] = deque()  # for the connection, or for a free stream
+        self.queue: deque[Attempt] = deque()  # for the connection, or for a free stream
         self.streams: dict[int, Stream] = {}
         self.leaving = False  # no new streams: the planner said so, or all numbers are used up
         self.over = False
-        self.left = 0  # hops that left this connection free, as the decisions hold
+        self.left = 0  # attempts that left this connection free, as the decisions hold
         self._http2 = Http2()
         self._transport: asyncio.Transport | None = None
         self.up = False  # the planner's SETTINGS have come
@@ -134,7 +134,7 @@
         self.end()
 
     def end(self) -> None:
-        """It is no more: each hop on it gets its outcome."""
+        """It is no more: each attempt on it gets its outcome."""
         if self.over:
             return
         self.over = True
@@ -148,8 +148,8 @@
             self._release(stream)
             sent = stream.written and stream.number not in self._unflushed
             self._report(stream, stream.verdict or (Outcome.RESET if sent else Outcome.CONNECT_FAILED))
-        for hop in queue:
-            self.owner.core.hop_ended(hop, Outcome.CONNECT_FAILED)
+        for attempt in queue:
+            self.owner.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
         for sign in list(self._probes):
             self._probed(sign, Outcome.CONNECT_FAILED)
         for _ in range(self.left):
@@ -165,45 +165,45 @@
 
     # ---- what goes out
 
-    def add(self, hop: Hop) -> None:
-        """A hop for this connection: on a stream at once, or when one is free."""
-        hop.link = self
-        hop.ran = False
-        self.queue.append(hop)
+    def add(self, attempt: Attempt) -> None:
+        """An attempt for this connection: on a stream at once, or when one is free."""
+        attempt.link = self
+        attempt.ran = False
+        self.queue.append(attempt)
         if self._idle is not None:
             self._idle.cancel()
             self._idle = None
         if self.up:
             self._open_streams()
 
-    def forget(self, hop: Hop) -> None:
-        """Take a hop that has no stream yet out of the queue."""
-        if hop in self.queue:
-            self.queue.remove(hop)
+    def forget(self, attempt: Attempt) -> None:
+        """Take an attempt that has no stream yet out of the queue."""
+        if attempt in self.queue:
+            self.queue.remove(attempt)
             self._rest()
 
     def cancel(self, stream: Stream) -> bool:
-        """Call a hop off on its stream; whether it may have run."""
+        """Call an attempt off on its stream; whether it may have run."""
         self._reset(stream)
         return stream.written
 
     def _open_streams(self) -> None:
-        """Give waiting hops streams, as many as the planner allows."""
+        """Give waiting attempts streams, as many as the planner allows."""
         most = min(STREAMS, self._http2.remote_settings.max_concurrent_streams)
         while self.queue and not self.leaving and not self.over and len(self.streams) < most:
-            hop = self.queue.popleft()
-            if not self.owner.core.may_begin(hop):
-                self.owner.core.hop_ended(hop, Outcome.CONNECT_FAILED)
+            attempt = self.queue.popleft()
+            if not self.owner.core.may_begin(attempt):
+                self.owner.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
                 continue
             try:
                 number = self._http2.get_next_available_stream_id()
             except h2.exceptions.NoAvailableStreamIDError:
-                self.queue.appendleft(hop)
+                self.queue.appendleft(attempt)
                 self.leave()
                 return
-            stream = self.streams[number] = hop.link = Stream(self, hop, number, frame(hop.body))
-            left = hop.deadline - self.owner.loop.time()
-            self._http2.send_headers(number, self.owner.metadata(hop, left))
+            stream = self.streams[number] = attempt.link = Stream(self, attempt, number, frame(attempt.body))
+            left = attempt.deadline - self.owner.loop.time()
+            self._http2.send_headers(number, self.owner.metadata(attempt, left))
             self.left = max(0, self.left - 1)
             self._pump(stream)
         self._flush_soon()
@@ -227,7 +227,7 @@
                 stream.written = last
         except h2.exceptions.ProtocolError:
             return  # the planner has ended it in this very turn: the event that says so follows
-        self.owner.core.written(stream.hop)
+        self.owner.core.written(stream.attempt)
         self._unflushed.add(stream.number)
 
     def _flush_soon(self) -> None:
@@ -347,7 +347,7 @@
         try:
             for message in messages(stream.buffer):
                 event = planner_pb2.RunEvent.FromString(message)
-                if event.id != stream.hop.exchange.request.id:
+                if event.id != stream.attempt.exchange.request.id:
                     raise BadMessageError("an event is for another request")
                 stream.heard = True
                 self._event(stream, event)
@@ -361,9 +361,9 @@
     def _event(self, stream: Stream, event: planner_pb2.RunEvent) -> None:
         kind, core = event.WhichOneof("event"), self.owner.core
         if kind == "started":
-            core.hop_noted(stream.hop, NoteKind.STARTED)
+            core.attempt_noted(stream.attempt, NoteKind.STARTED)
         elif kind == "running":
-            core.hop_noted(stream.hop, NoteKind.PROGRESS, min(1.0, max(0.0, event.running.share)))
+            core.attempt_noted(stream.attempt, NoteKind.PROGRESS, min(1.0, max(0.0, event.running.share)))
         elif kind == "done":
             stream.verdict = Outcome.OK
             self._report(stream, Outcome.OK, event.done.SerializeToString())
@@ -402,10 +402,10 @@
 
     def _report(self, stream: Stream, outcome: Outcome, result: bytes = b"",
                 pushback: float | None = None) -> None:
-        if not stream.hop.over:
+        if not stream.attempt.over:
             if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL) and not self.over:
                 self.left += 1
-            self.owner.core.hop_ended(stream.hop, outcome, result, (), pushback)
+            self.owner.core.attempt_ended(stream.attempt, outcome, result, (), pushback)
 
     def _goaway(self, event: h2.events.ConnectionTerminated) -> None:
         code, last = event.error_code, event.last_stream_id or 0
@@ -427,8 +427,8 @@
         self.leaving = True
         self.owner.lost(self)
         queue, self.queue = list(self.queue), deque()
-        for hop in queue:
-            self.owner.core.hop_ended(hop, Outcome.CONNECT_FAILED)
+        for attempt in queue:
+            self.owner.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
 
     # ---- probes: a PING tells that the planner is there, and nothing of its load
 
@@ -450,7 +450,7 @@
     # ---- between requests
 
     def _rest(self) -> None:
-        """A stream has ended: the next hop takes its place, or the connection is idle."""
+        """A stream has ended: the next attempt takes its place, or the connection is idle."""
         if self.over:
             return
         if self.queue and self.up:
--- a/pipitshed/egress/grpc_outcomes.py
+++ b/pipitshed/egress/grpc_outcomes.py
@@ -1,4 +1,4 @@
-"""Outcomes of hops over gRPC, by the table in docs/design/translation.md; no I/O."""
+"""Outcomes of attempts over gRPC, by the table in docs/design/translation.md; no I/O."""
 
 from __future__ import annotations
 
--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -1,4 +1,4 @@
-"""Hops to HTTP planners, over a pool of kept connections."""
+"""Attempts to HTTP planners, over a pool of kept connections."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 from pipitshed.decisions.interface import Effect, Limits, NoteKind, Outcome
 from pipitshed.exchange.core import Core
-from pipitshed.exchange.parties import EgressTarget, Hop
+from pipitshed.exchange.parties import Endpoint, Attempt
 from pipitshed.wire.http import BODY_LIMIT, BadAnswerError, Reader
 
 PROBE_TIMEOUT = 0.5  # s
@@ -45,12 +45,12 @@
     return "".join(char for char in text if " " <= char <= "~")
 
 
-def request_bytes(hop: Hop, left: float, classes: Sequence[str] = ()) -> bytes:
-    """The whole request of a hop, which has `left` seconds. Where messages are translated, class and tenant
-    go with it by name, as they do on every interface there."""
-    request = hop.exchange.request
+def request_bytes(attempt: Attempt, left: float, classes: Sequence[str] = ()) -> bytes:
+    """The whole request of an attempt, which has `left` seconds. Where messages are translated, class and
+    tenant go with it by name, as they do on every interface there."""
+    request = attempt.exchange.request
     told = ""
-    if hop.exchange.prepared is not None:
+    if attempt.exchange.prepared is not None:
         told = f"X-Class: {classes[request.job_class]}\r\n"
         if request.tenant_name:
             told += f"X-Tenant: {request.tenant_name}\r\n"
@@ -58,7 +58,7 @@
     return (f"{request.verb} {request.resource} HTTP/1.1\r\nHost: service.internal\r\n"
             f"X-Request-Id: {_header_text(request.id)}\r\n{key}{told}"
             f"X-Deadline: {max(0.001, left):.3f}\r\n"
-            f"Content-Length: {len(hop.body)}\r\n\r\n").encode("latin-1") + hop.body
+            f"Content-Length: {len(attempt.body)}\r\n\r\n").encode("latin-1") + attempt.body
 
 
 def read_load(text: bytes, fields: Sequence[str]) -> tuple[float, ...]:
@@ -85,20 +85,20 @@
 
 
 class _Connection(asyncio.Protocol):
-    """One connection to a planner; it carries one hop or probe at a time."""
+    """One connection to a planner; it carries one attempt or probe at a time."""
 
     def __init__(self, carrier: HttpCarrier, address: Address) -> None:
         self.address = address
-        self.hop: Hop | None = None
-        self.probed: EgressTarget | None = None
+        self.attempt: Attempt | None = None
+        self.probed: Endpoint | None = None
         self.begun = 0.0
         self.idle_timer: asyncio.TimerHandle | None = None
         self._carrier = carrier
         self._reader = Reader(self, LINE_LIMIT)
         self._transport: asyncio.Transport | None = None
         self._unwritten = False
-        self._counted = True  # the last byte of the hop it carries has been counted as written
-        self.left: EgressTarget | None = None  # whose hop left this connection free, as the decisions hold
+        self._counted = True  # the last byte of the attempt it carries has been counted as written
+        self.left: Endpoint | None = None  # whose attempt left this connection free, as the decisions hold
         self._status = 0
         self._told = False  # the outcome of what this connection carries has been reported
         self._ending: asyncio.TimerHandle | None = None  # an answer has to end by then
@@ -122,16 +122,16 @@
     def write(self, data: bytes) -> None:
         assert self._transport is not None
         self._told, self._unwritten = False, False
-        self._counted = self.hop is None
+        self._counted = self.attempt is None
         self._transport.write(data)
         if self._transport.is_closing():
             self._unwritten = True  # the planner had closed it: no last byte has gone out
         self._count()
 
     def _count(self) -> None:
-        if not self._counted and not self._unwritten and self.hop is not None and not self._told:
+        if not self._counted and not self._unwritten and self.attempt is not None and not self._told:
             self._counted = True
-            self._carrier.core.written(self.hop)
+            self._carrier.core.written(self.attempt)
 
     @property
     def open(self) -> bool:
@@ -156,24 +156,24 @@
     # ---- what comes in
 
     def data_received(self, data: bytes) -> None:
-        if self.hop is None and self.probed is None:
+        if self.attempt is None and self.probed is None:
             self.close()  # a planner that speaks unasked is not to be trusted with a request
             return
         try:
             self._reader.feed(data)
         except BadAnswerError:
-            if self.hop is not None and data.startswith(HTTP2_SETTINGS):
-                self._carrier.on_wrong_interface(self.hop.target)
+            if self.attempt is not None and data.startswith(HTTP2_SETTINGS):
+                self._carrier.on_wrong_interface(self.attempt.target)
             self._end(Outcome.RESET)
             self.close()
             return
-        if self.hop is None and self.probed is None:
+        if self.attempt is None and self.probed is None:
             # Guards the next request against the rest of an answer that nobody asked for.
             if self._reader.begun:
                 self.close()
         elif self._told and self._ending is None:
-            # Guards the descriptors against an answer whose end never comes: the hop is over, and with it the
-            # timer that would have ended this connection.
+            # Guards the descriptors against an answer whose end never comes: the attempt is over, and with it
+            # the timer that would have ended this connection.
             self._ending = self._carrier.loop.call_later(END_WITHIN, self.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -187,53 +187,53 @@
         self._status = status
 
     def body_came(self) -> None:
-        if self._status != 200 or self.hop is None:
+        if self._status != 200 or self.attempt is None:
             return
         while (text := self._reader.buffer.line()) is not None:
             if text:
                 self._line(text)
 
     def _line(self, text: bytes) -> None:
-        hop = self.hop
-        if hop is None or self._told:
+        attempt = self.attempt
+        if attempt is None or self._told:
             return
         try:
             line = _decode_line(text)
         except msgspec.DecodeError:
             raise BadAnswerError("a line is not JSON") from None
-        if line.id != hop.exchange.request.id:
+        if line.id != attempt.exchange.request.id:
             raise BadAnswerError("a line is not for this request")  # never serve what was made for another
         if line.state == "started":
-            self._carrier.core.hop_noted(hop, NoteKind.STARTED)
+            self._carrier.core.attempt_noted(attempt, NoteKind.STARTED)
         elif line.state == "running":
-            self._carrier.core.hop_noted(hop, NoteKind.PROGRESS, line.share)
+            self._carrier.core.attempt_noted(attempt, NoteKind.PROGRESS, line.share)
         elif line.state in _ENDS:
             self._end(_ENDS[line.state], line.result.encode(),
                       report_of(line.load, self._carrier.fields))
 
     def answer_ended(self, keep_alive: bool) -> None:
-        if self.hop is None and self.probed is None:
+        if self.attempt is None and self.probed is None:
             # Guards against an answer that nobody asked for: this connection already stands in the pool.
             self.close()
             return
         headers = self._reader.headers
         report = read_load(headers.get(b"x-load", b""), self._carrier.fields)
-        if self._status == 200 and self.hop is not None:
+        if self._status == 200 and self.attempt is not None:
             rest = self._reader.buffer.take_all().strip()
             if rest:
                 self._line(rest)
             self._end(Outcome.RESET)  # where no last object came
         elif self._status in (503, 504) and headers.get(b"x-not-run", b"").strip() == b"1":
             # Guards "never ran" against a second answer to the request before, which names no request.
-            late = self.hop is not None and self._carrier.loop.time() < self.rested and (
-                self._carrier.effect(self.hop) is not Effect.SAFE)
+            late = self.attempt is not None and self._carrier.loop.time() < self.rested and (
+                self._carrier.effect(self.attempt) is not Effect.SAFE)
             self._end(Outcome.RESET if late else Outcome.FULL, b"", report)
         elif self.probed is not None and self._status == 200:
             body = read_load(self._reader.buffer.take_all(), self._carrier.fields)
             self._end(Outcome.OK, b"", body or report)
         else:
             self._end(Outcome.ERROR, b"", report)
-        self.hop = self.probed = None
+        self.attempt = self.probed = None
         if self._ending is not None:
             self._ending.cancel()
             self._ending = None
@@ -250,10 +250,10 @@
             return
         self._told = True
         core = self._carrier.core
-        if self.hop is not None:
+        if self.attempt is not None:
             if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
-                self.left = self.hop.target
-            core.hop_ended(self.hop, outcome, result, report)
+                self.left = self.attempt.target
+            core.attempt_ended(self.attempt, outcome, result, report)
         elif self.probed is not None:
             core.probe_ended(self.probed, outcome, (self._carrier.loop.time() - self.begun) * 1000, report)
 
@@ -272,7 +272,7 @@
         self.fields = fields
         self.classes: Sequence[str] = ()  # by name, where messages are translated
         self.loop = loop
-        self.on_wrong_interface: Callable[[EgressTarget], None] = lambda target: None
+        self.on_wrong_interface: Callable[[Endpoint], None] = lambda target: None
         self._idle: dict[Address, list[_Connection]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         limits = core.settings.limits
@@ -293,32 +293,32 @@
                     connection.idle_timer.cancel()
                     connection.idle_timer = self.loop.call_at(due, connection.close)
 
-    def carry(self, hop: Hop) -> None:
-        connection = self._take(hop.target.address)
+    def carry(self, attempt: Attempt) -> None:
+        connection = self._take(attempt.target.address)
         if connection is not None:
-            self._write_hop(connection, hop)
+            self._write_attempt(connection, attempt)
         elif self.connections >= self._room() and not self.shed():
-            self.core.hop_ended(hop, Outcome.CONNECT_FAILED)
+            self.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
         else:
             self.core.tally["connections"] += 1
-            self._start(self._connect_for_hop(hop))
+            self._start(self._connect_for_attempt(attempt))
 
-    def effect(self, hop: Hop) -> Effect:
-        """What the hop's class allows where a job may have run."""
-        return self.core.settings.classes[hop.exchange.request.job_class].effect
+    def effect(self, attempt: Attempt) -> Effect:
+        """What the attempt's class allows where a job may have run."""
+        return self.core.settings.classes[attempt.exchange.request.job_class].effect
 
-    def drop(self, hop: Hop) -> bool:
-        connection = hop.link
+    def drop(self, attempt: Attempt) -> bool:
+        connection = attempt.link
         if not isinstance(connection, _Connection):
             return False  # still connecting; the connection is closed or kept when it is up
         sent = connection.sent
         connection.close()
         return sent
 
-    def probe(self, target: EgressTarget) -> None:
+    def probe(self, target: Endpoint) -> None:
         self._start(self._probe(target))
 
-    def close_idle(self, target: EgressTarget) -> None:
+    def close_idle(self, target: Endpoint) -> None:
         for connection in list(self._idle.get(target.address, ())):
             connection.close()
 
@@ -331,8 +331,8 @@
         self._up.add(connection)
 
     def shed(self) -> bool:
-        """Close the connection that has rested longest; whether there was one. Guards discovery's call, hops
-        and clients against a pool of one connection for each of many planners."""
+        """Close the connection that has rested longest; whether there was one. Guards discovery's call,
+        attempts and clients against a pool of one connection for each of many planners."""
         if (oldest := next(iter(self._resting), None)) is not None:
             del self._resting[oldest]
             oldest.close()
@@ -375,25 +375,25 @@
             self._coming -= 1
         return connection if connection.open else None  # it may have been reset just now
 
-    def _write_hop(self, connection: _Connection, hop: Hop) -> None:
-        connection.hop, hop.link = hop, connection
+    def _write_attempt(self, connection: _Connection, attempt: Attempt) -> None:
+        connection.attempt, attempt.link = attempt, connection
         connection.left = None
-        connection.write(request_bytes(hop, hop.deadline - self.loop.time(), self.classes))
+        connection.write(request_bytes(attempt, attempt.deadline - self.loop.time(), self.classes))
 
-    async def _connect_for_hop(self, hop: Hop) -> None:
-        timeout = min(self._connect_timeout, hop.deadline - self.loop.time())
-        connection = await self._connect(hop.target.address, max(0.001, timeout))
+    async def _connect_for_attempt(self, attempt: Attempt) -> None:
+        timeout = min(self._connect_timeout, attempt.deadline - self.loop.time())
+        connection = await self._connect(attempt.target.address, max(0.001, timeout))
         if connection is None:
-            self.core.hop_ended(hop, Outcome.CONNECT_FAILED)
-        elif self.core.may_begin(hop):
-            self._write_hop(connection, hop)
+            self.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
+        elif self.core.may_begin(attempt):
+            self._write_attempt(connection, attempt)
         else:
             # Called off while it was coming up, or not to be written any more: nothing was sent on it, so the
-            # next hop may use it.
+            # next attempt may use it.
             self.free(connection)
-            self.core.hop_ended(hop, Outcome.CONNECT_FAILED)
+            self.core.attempt_ended(attempt, Outcome.CONNECT_FAILED)
 
-    async def _probe(self, target: EgressTarget) -> None:
+    async def _probe(self, target: Endpoint) -> None:
         begun = self.loop.time()
         connection = self._take(target.address) or await self._connect(target.address, PROBE_TIMEOUT)
         if connection is None:
--- a/pipitshed/exchange/__init__.py
+++ b/pipitshed/exchange/__init__.py
@@ -1,1 +1,1 @@
-"""The core: exchanges, their hops and their one final answer. It knows no wire."""
+"""The core: exchanges, their attempts and their one final answer. It knows no wire."""
--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -14,7 +14,7 @@
     Action, Cancel, CloseIdle, Event, Fail, FetchList, Finished, LinkLost, Log, Note, NoteKind,
     Outcome, Probe, Probed, Refuse, Send, SetTimer, Settings, Submitted, TimerFired, WatchList, Withdrawn)
 from pipitshed.decisions.rules import PACE_AGE, SLOW, Dispatcher
-from pipitshed.exchange.parties import Client, EgressTarget, Exchange, Hop, Refusal, Request, Translator
+from pipitshed.exchange.parties import Client, Endpoint, Exchange, Attempt, Refusal, Request, Translator
 from pipitshed.exchange.route_table import RouteTable
 from pipitshed.exchange.trace import Trace
 
@@ -25,7 +25,7 @@
 
 
 class Core:
-    """Owns the exchanges, their hops and timers, and gives each exchange its one final answer."""
+    """Owns the exchanges, their attempts and timers, and gives each exchange its one final answer."""
 
     def __init__(self, settings: Settings, seed: int, loop: asyncio.AbstractEventLoop) -> None:
         self.settings = settings
@@ -34,7 +34,7 @@
         self._untranslated: deque[Exchange] = deque()
         self.tally: Counter[str] = Counter()
         self.ended: Counter[tuple[str, int]] = Counter()  # exchanges by how they ended, and class
-        self.sends: Counter[int] = Counter()  # hops whose last byte was written, by class
+        self.sends: Counter[int] = Counter()  # attempts whose last byte was written, by class
         self.on_idle: Callable[[], None] | None = None
         self.ask_list: Callable[[bool], None] = lambda watch: None  # discovery: a watch, or the whole list
         self.answer_by = math.inf  # loop time by which what is taken from now on must have its answer
@@ -97,8 +97,8 @@
                 exchange.client.failed()
         elif isinstance(action, Cancel):
             held = self._exchanges.get(action.job)
-            if held is not None and not held.hops[action.attempt].over:
-                self._stop(held.hops[action.attempt], Outcome.CANCELLED)
+            if held is not None and not held.attempts[action.attempt].over:
+                self._stop(held.attempts[action.attempt], Outcome.CANCELLED)
         elif isinstance(action, WatchList | FetchList):
             self.ask_list(isinstance(action, WatchList))
         elif isinstance(action, Probe | CloseIdle):
@@ -182,7 +182,7 @@
         """Planners of an interface have come or gone: what waits and can be told to none that is left is not
         held until its time is over."""
         for exchange in list(self._exchanges.values()):
-            if not exchange.settled and not exchange.hops and (why := self._unfit(exchange)):
+            if not exchange.settled and not exchange.attempts and (why := self._unfit(exchange)):
                 self._refuse_unfit(exchange, why)
                 self.post(Withdrawn(exchange.number))
 
@@ -199,9 +199,9 @@
     def _drop_unrun(self, exchange: Exchange) -> None:
         """Drop what still waits for a connection, a stream or a worker, also where the decisions may not call
         off what runs."""
-        for hop in exchange.hops:
-            if not hop.over and not hop.ran:
-                self._stop(hop, Outcome.CANCELLED)
+        for attempt in exchange.attempts:
+            if not attempt.over and not attempt.ran:
+                self._stop(attempt, Outcome.CANCELLED)
 
     def _overdue(self, exchange: Exchange) -> None:
         if self._settle(exchange.number, "overdue"):
@@ -224,7 +224,7 @@
         return exchange
 
     def _forget(self, exchange: Exchange) -> None:
-        if exchange.settled and all(hop.over for hop in exchange.hops):
+        if exchange.settled and all(attempt.over for attempt in exchange.attempts):
             self._exchanges.pop(exchange.number, None)
             if not self._exchanges and self.on_idle is not None:
                 self._loop.call_soon(self.on_idle)
@@ -233,7 +233,7 @@
         """How many ready planners the decisions pass over at present: they found no room or no connection
         there a moment ago, or its jobs went slowly."""
         now, dispatcher = (self._epoch + monotonic()) * 1000, self._dispatcher
-        return sum(worker.ready and (worker.shy_until > now or (
+        return sum(worker.ready and (worker.ejected_until > now or (
             worker.pace > SLOW * dispatcher.pace and now - worker.pace_at < PACE_AGE))
             for worker in dispatcher.workers.values())
 
@@ -242,7 +242,7 @@
         """How many exchanges wait for their answer."""
         return sum(not exchange.settled for exchange in self._exchanges.values())
 
-    # ---- hops
+    # ---- attempts
 
     def _send(self, action: Send) -> None:
         exchange = self._exchanges.get(action.job)
@@ -251,9 +251,9 @@
         target = self.routes.target(action.worker)
         now = monotonic()
         if exchange is None or exchange.settled or target is None or now >= exchange.deadline or (
-                len(exchange.hops) >= self.settings.limits.max_attempts):
-            number = len(exchange.hops) if exchange is not None else 0
-            self.tally["hop MOOT"] += 1
+                len(exchange.attempts) >= self.settings.limits.max_attempts):
+            number = len(exchange.attempts) if exchange is not None else 0
+            self.tally["attempt MOOT"] += 1
             self.post(Finished(action.job, number, action.worker, Outcome.MOOT, 0.0,
                                exchange is None or exchange.settled))
             return
@@ -263,71 +263,71 @@
         prepared = exchange.prepared
         if prepared is not None and target.interface not in prepared.bodies:
             # The planner came back with another interface in this very turn.
-            exchange.hops.append(Hop(exchange, len(exchange.hops), target, now, deadline))
-            self.hop_ended(exchange.hops[-1], Outcome.CONNECT_FAILED)
+            exchange.attempts.append(Attempt(exchange, len(exchange.attempts), target, now, deadline))
+            self.attempt_ended(exchange.attempts[-1], Outcome.CONNECT_FAILED)
             return
         body = exchange.request.body if prepared is None else prepared.bodies[target.interface]
-        hop = Hop(exchange, len(exchange.hops), target, now, deadline, body)
+        attempt = Attempt(exchange, len(exchange.attempts), target, now, deadline, body)
         if action.write_within > 0:
-            hop.write_by = now + action.write_within / 1000
-        exchange.hops.append(hop)
-        hop.timer = self._loop.call_at(deadline, self.give_up, hop)
-        target.carrier.carry(hop)
-
-    def may_begin(self, hop: Hop) -> bool:
-        """Whether a hop that waited for its connection may be written now. Guards against what came while it
-        waited: its client's end, the drain or end of its planner, the end of a repeat's window."""
-        exchange = hop.exchange
-        return not (hop.over or exchange.settled or exchange.orphan or self.routes.leaving(hop.target.id)
-                    or monotonic() >= hop.write_by)
-
-    def written(self, hop: Hop) -> None:
-        """The carrier has written the hop's last byte: from now on it may have run."""
-        hop.ran = True
-        self.sends[hop.exchange.request.job_class] += 1
-
-    def give_up(self, hop: Hop) -> None:
-        """The time for a hop is over."""
-        if not hop.over:
-            self._stop(hop, Outcome.TIMEOUT)
-
-    def _stop(self, hop: Hop, outcome: Outcome) -> None:
+            attempt.write_by = now + action.write_within / 1000
+        exchange.attempts.append(attempt)
+        attempt.timer = self._loop.call_at(deadline, self.give_up, attempt)
+        target.carrier.carry(attempt)
+
+    def may_begin(self, attempt: Attempt) -> bool:
+        """Whether an attempt that waited for its connection may be written now. Guards against what came
+        while it waited: its client's end, the drain or end of its planner, the end of a repeat's window."""
+        exchange, planner = attempt.exchange, attempt.target.id
+        return not (attempt.over or exchange.settled or exchange.orphan or self.routes.leaving(planner)
+                    or monotonic() >= attempt.write_by)
+
+    def written(self, attempt: Attempt) -> None:
+        """The carrier has written the attempt's last byte: from now on it may have run."""
+        attempt.ran = True
+        self.sends[attempt.exchange.request.job_class] += 1
+
+    def give_up(self, attempt: Attempt) -> None:
+        """The time for an attempt is over."""
+        if not attempt.over:
+            self._stop(attempt, Outcome.TIMEOUT)
+
+    def _stop(self, attempt: Attempt, outcome: Outcome) -> None:
         # Stopped before its last byte was written, or before a worker took it, it has never run: that is
         # how the protocol has it, and a keyed job keeps its choice of planners.
-        ran = hop.target.carrier.drop(hop)
-        self.hop_ended(hop, outcome if ran else Outcome.CONNECT_FAILED)
+        ran = attempt.target.carrier.drop(attempt)
+        self.attempt_ended(attempt, outcome if ran else Outcome.CONNECT_FAILED)
 
-    def hop_noted(self, hop: Hop, kind: NoteKind, share: float = 0.0) -> None:
+    def attempt_noted(self, attempt: Attempt, kind: NoteKind, share: float = 0.0) -> None:
         """The planner tells of a job's start or progress."""
-        if not hop.over:
-            self.post(Note(hop.exchange.number, hop.number, hop.target.id, kind, share))
-            if not hop.exchange.settled:
-                hop.exchange.client.noted(kind, share)
+        if not attempt.over:
+            self.post(Note(attempt.exchange.number, attempt.number, attempt.target.id, kind, share))
+            if not attempt.exchange.settled:
+                attempt.exchange.client.noted(kind, share)
 
-    def hop_ended(self, hop: Hop, outcome: Outcome, result: bytes = b"",
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome, result: bytes = b"",
                   report: Sequence[float] = (), pushback: float | None = None) -> None:
-        """The one outcome of a hop; whatever comes after it is nothing to the core. `pushback`: ms that the
-        planner wants the next attempt to wait, negative for none at all."""
-        if hop.over:
+        """The one outcome of an attempt; whatever comes after it is nothing to the core. `pushback`: ms that
+        the planner wants the next attempt to wait, negative for none at all."""
+        if attempt.over:
             return
-        hop.outcome = outcome
-        if hop.timer is not None:
-            hop.timer.cancel()
-        self.tally[f"hop {outcome.name}"] += 1
-        exchange = hop.exchange
+        attempt.outcome = outcome
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self.tally[f"attempt {outcome.name}"] += 1
+        exchange = attempt.exchange
         if outcome is Outcome.ERROR:
             exchange.fault = result
         if outcome is Outcome.OK and not exchange.settled:
-            self._serve(exchange, hop, result)
+            self._serve(exchange, attempt, result)
         self.post(Finished(
-            exchange.number, hop.number, hop.target.id, outcome,
-            (monotonic() - hop.sent_at) * 1000, exchange.settled, tuple(report), pushback))
+            exchange.number, attempt.number, attempt.target.id, outcome,
+            (monotonic() - attempt.sent_at) * 1000, exchange.settled, tuple(report), pushback))
         self._forget(exchange)
 
-    def _serve(self, exchange: Exchange, hop: Hop, result: bytes) -> None:
+    def _serve(self, exchange: Exchange, attempt: Attempt, result: bytes) -> None:
         answer: bytes | Refusal = result
         if exchange.prepared is not None and self.translator is not None:
-            answer = self.translator.answer(exchange.request, hop.target.interface, result)
+            answer = self.translator.answer(exchange.request, attempt.target.interface, result)
         if isinstance(answer, bytes):
             self._settle(exchange.number, "served")
             exchange.client.served(answer)
@@ -337,11 +337,11 @@
             exchange.fault = f"{answer.field}: {answer.reason}".encode()
             exchange.client.unfit(answer, True)
 
-    def link_lost(self, target: EgressTarget) -> None:
-        """A connection that an ended hop had left free has closed."""
+    def link_lost(self, target: Endpoint) -> None:
+        """A connection that an ended attempt had left free has closed."""
         self.post(LinkLost(target.id))
 
-    def probe_ended(self, target: EgressTarget, outcome: Outcome, elapsed: float,
+    def probe_ended(self, target: Endpoint, outcome: Outcome, elapsed: float,
                     report: Sequence[float] = ()) -> None:
         """What one probe found."""
         self.post(Probed(target.id, elapsed, outcome, tuple(report)))
--- a/pipitshed/exchange/ledger.py
+++ b/pipitshed/exchange/ledger.py
@@ -122,7 +122,7 @@
             self._entries.pop(entry.key, None)
             return
         cls = self._core.settings.classes[entry.exchange.request.job_class]
-        first = min(hop.sent_at for hop in entry.exchange.hops if hop.may_have_run)
+        first = min(attempt.sent_at for attempt in entry.exchange.attempts if attempt.may_have_run)
         until = first + (cls.window if cls.effect is Effect.KEYED else cls.deadline) / 1000
         self._loop.call_at(max(until, self._loop.time()), self._forget, entry)
         if entry.result is not None:
--- a/pipitshed/exchange/parties.py
+++ b/pipitshed/exchange/parties.py
@@ -26,7 +26,7 @@
     verb: str = "POST"
     resource: str = "/api"
     function: str = ""  # what the client called the work, where its front names it
-    priority: int = 0  # the higher goes first where hops wait for one planner
+    priority: int = 0  # the higher goes first where attempts wait for one planner
     slots: float = 1.0
     memory: float = 0.0
     hint: float | None = None
@@ -77,21 +77,21 @@
 
 
 class Carrier(Protocol):
-    """Carries hops to egress targets of its kind, and reports one outcome for each to the core."""
+    """Carries attempts to endpoints of its kind, and reports one outcome for each to the core."""
 
-    def carry(self, hop: Hop) -> None: ...
+    def carry(self, attempt: Attempt) -> None: ...
 
-    def drop(self, hop: Hop) -> bool:
-        """Stop the hop for good; whether it may have run, which it has not while unwritten or unassigned."""
+    def drop(self, attempt: Attempt) -> bool:
+        """Stop the attempt for good; whether it may have run: not before it is written, or assigned."""
 
-    def probe(self, target: EgressTarget) -> None: ...
+    def probe(self, target: Endpoint) -> None: ...
 
-    def close_idle(self, target: EgressTarget) -> None: ...
+    def close_idle(self, target: Endpoint) -> None: ...
 
 
 @dataclass(slots=True)
-class EgressTarget:
-    """A planner, and who carries hops to it; only that carrier reads the address."""
+class Endpoint:
+    """A planner, and who carries attempts to it; only that carrier reads the address."""
 
     id: WorkerId
     carrier: Carrier
@@ -101,7 +101,7 @@
 
 @dataclass(slots=True, eq=False)
 class Exchange:
-    """One client's request until its final answer and the end of its last hop."""
+    """One client's request until its final answer and the end of its last attempt."""
 
     number: int
     request: Request
@@ -110,22 +110,22 @@
     settled: bool = False
     orphan: bool = False  # its clients have gone, and what runs goes on for one that comes back
     fault: bytes = b""  # what the last planner that failed said of it
-    hops: list[Hop] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
     guard: asyncio.TimerHandle | None = None
     prepared: Prepared | None = None  # where it is translated
 
     @property
     def may_have_run(self) -> bool:
-        return any(hop.may_have_run for hop in self.hops)
+        return any(attempt.may_have_run for attempt in self.attempts)
 
 
 @dataclass(slots=True, eq=False)
-class Hop:
-    """One attempt of an exchange at one egress target."""
+class Attempt:
+    """One attempt of an exchange at one endpoint."""
 
     exchange: Exchange
     number: int
-    target: EgressTarget
+    target: Endpoint
     sent_at: float  # loop time
     deadline: float  # loop time
     body: bytes = b""  # in the target's form
--- a/pipitshed/exchange/route_table.py
+++ b/pipitshed/exchange/route_table.py
@@ -6,17 +6,17 @@
 from dataclasses import replace
 
 from pipitshed.decisions.interface import Entry, ListKind, ListMoved, ListNews, State, WorkerId
-from pipitshed.exchange.parties import EgressTarget
+from pipitshed.exchange.parties import Endpoint
 
-Line = tuple[Entry, EgressTarget]
+Line = tuple[Entry, Endpoint]
 
 
 class RouteTable:
-    """All egress targets ever listed, and what each source lists now."""
+    """All endpoints ever listed, and what each source lists now."""
 
     def __init__(self, post: Callable[[ListNews | ListMoved], None]) -> None:
         self._post = post
-        self._targets: dict[WorkerId, EgressTarget] = {}
+        self._targets: dict[WorkerId, Endpoint] = {}
         self._listed: dict[str, dict[WorkerId, Entry]] = {}
         self._held: dict[WorkerId, float] = {}  # said itself that it drains: the start for which that holds
         self._planned: dict[WorkerId, tuple[float, ...]] | None = None  # a plan's weights by class
@@ -24,8 +24,8 @@
         self._leaving: set[WorkerId] = set()  # told of as draining or gone, and not of anything since
         self.on_interfaces: Callable[[], None] = lambda: None  # another set of interfaces is listed
 
-    def target(self, worker: WorkerId) -> EgressTarget | None:
-        """Where a hop to this planner goes; also when it has left the list."""
+    def target(self, worker: WorkerId) -> Endpoint | None:
+        """Where an attempt to this planner goes; also when it has left the list."""
         return self._targets.get(worker)
 
     def leaving(self, worker: WorkerId) -> bool:
--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -492,8 +492,8 @@
         self.unproven[connection] = None
 
     def has_room(self, pending: int) -> bool:
-        """Whether hops and discovery would keep the descriptors they need, with so many connections that are
-        accepted and not up yet; busy clients make no room."""
+        """Whether attempts and discovery would keep the descriptors they need, with so many connections that
+        are accepted and not up yet; busy clients make no room."""
         return len(self.connections) + len(self.closing) + pending < self._most * OVER
 
     def forget(self, connection: _Connection) -> None:
--- a/pipitshed/placement/learn.py
+++ b/pipitshed/placement/learn.py
@@ -1,6 +1,6 @@
-"""Speeds and demand from the program's own structured log: one JSON line for each hop that served its job.
+"""Speeds and demand from the program's own structured log: a JSON line for each attempt that served its job.
 
-    {"event":"hop","planner":"p1","class":"quote","tenant":"andes-retail","at":1.5,"ran":0.31,"outcome":"OK"}
+    {"event":"attempt","planner":"p1","class":"quote","tenant":"andes-retail","at":1.5,"ran":0.31,"outcome":"OK"}
 
 `at` and `ran` in s. The model is multiplicative: ran = work of the class / speed of the planner. Logarithms
 make it linear, and means over planners and classes in turn (alternating least squares) solve it. The
@@ -62,7 +62,7 @@
         except msgspec.MsgspecError:
             skipped += 1
             continue
-        if told.event != "hop" or told.outcome != "OK" or not told.planner or not 0 < told.ran < math.inf:
+        if told.event != "attempt" or told.outcome != "OK" or not told.planner or not 0 < told.ran < math.inf:
             skipped += 1
             continue
         runs.append((told.planner, told.job_class, math.log(told.ran)))
--- a/pipitshed/routes/discovery.py
+++ b/pipitshed/routes/discovery.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from pipitshed.decisions.interface import Entry, ListKind, State
-from pipitshed.exchange.parties import Carrier, EgressTarget
+from pipitshed.exchange.parties import Carrier, Endpoint
 from pipitshed.exchange.route_table import Line, RouteTable
 from pipitshed.wire.http import BODY_LIMIT, BadAnswerError, Reader
 
@@ -78,7 +78,7 @@
     """Which interface a planner speaks, where there is more than one."""
 
     def choose(self, source: str, item: Instance, listing: Listing) -> tuple[int, Carrier]:
-        """The interface, 0 while it is being found out, and what carries hops to it."""
+        """The interface, 0 while it is being found out, and what carries attempts to it."""
 
 
 class Listing:
@@ -99,7 +99,7 @@
         entry = Entry(worker, self.zones.place(item.zone), item.cell, self.kinds.place(item.machine_type),
                       item.weight, item.started_at_ms, _STATES.get(item.lifecycle, State.DRAINING), classes,
                       interface)
-        return entry, EgressTarget(worker, carrier, address_of(item.host_port), interface)
+        return entry, Endpoint(worker, carrier, address_of(item.host_port), interface)
 
 
 class Discovery:
--- a/pipitshed/routes/interfaces.py
+++ b/pipitshed/routes/interfaces.py
@@ -51,7 +51,7 @@
         self._out = 0
 
     def choose(self, source: str, item: Instance, listing: Listing) -> tuple[int, Carrier]:
-        """The interface of one row, 0 while it is being found out, and what carries hops to it."""
+        """The interface of one row, 0 while it is being found out, and what carries attempts to it."""
         worker = item.instance_id.encode()
         known = self._known.get(worker)
         if item.lifecycle == "gone":
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -44,9 +44,9 @@
 LONGEST_END = 1.0  # s beyond the longest deadline after which nothing can be owed any more
 SETTLE = 0.02  # s between looks whether all is answered
 CLIENTS_PART = 0.4  # part of the descriptors for HTTP clients' connections
-GEARMAN_PART = 0.2  # and for Gearman's; the rest is for hops
-SPARE_PART = 12  # part of them (one in so many) that neither clients nor hops take: discovery, the operators
-HOPS_PART = 8  # the part of them (one in so many) that hops may have whatever clients hold
+GEARMAN_PART = 0.2  # and for Gearman's; the rest is for attempts
+SPARE_PART = 12  # part of them (one in so many) that neither clients nor attempts take: discovery, operators
+ATTEMPTS_PART = 8  # the part of them (one in so many) that attempts may have whatever clients hold
 LEAST_SPARE = 20  # of those at least: what a process holds before anybody comes, and one call to discovery
 READY_WITHOUT_LIST = 4.0  # s after the start from which the process is ready without a list from discovery
 
@@ -114,7 +114,7 @@
         clients = len(self.front.connections) + len(self.front.closing)
         if self.gearman is not None:
             clients += len(self.gearman.connections)
-        return max(sockets - max(LEAST_SPARE, sockets // SPARE_PART) - clients, sockets // HOPS_PART)
+        return max(sockets - max(LEAST_SPARE, sockets // SPARE_PART) - clients, sockets // ATTEMPTS_PART)
 
     def _room(self, pending: int) -> bool:
         """Whether one more client is taken; a planner's connection that rests makes room for it."""
@@ -199,7 +199,7 @@
 
     def reload(self) -> None:
         """Read the configuration again: new settings, and discovery followed to the address it names;
-        exchanges, hops and the route table stay as they are, and so does each exchange's class."""
+        exchanges, attempts and the route table stay as they are, and so does each exchange's class."""
         if self.plan is not None:
             self.plan.read()
         # Guards against the end of the program by a file that is half written or wrong: the old one stands.
--- a/pipitshed/translating.py
+++ b/pipitshed/translating.py
@@ -10,7 +10,7 @@
 from pipitshed.egress.http import HttpCarrier
 from pipitshed.egress.sounding import Sounder
 from pipitshed.exchange.core import Core
-from pipitshed.exchange.parties import EgressTarget
+from pipitshed.exchange.parties import Endpoint
 from pipitshed.routes.interfaces import Interfaces
 from pipitshed.translation.translator import Translator
 
@@ -34,10 +34,10 @@
     def _sounded(self, worker: bytes, address: tuple[str, int], interface: int) -> None:
         self.interfaces.sounded(worker, address, interface)
 
-    def _wrong(self, target: EgressTarget) -> None:
+    def _wrong(self, target: Endpoint) -> None:
         self.interfaces.doubt(target.id)
 
-    def _drains(self, target: EgressTarget) -> None:
+    def _drains(self, target: Endpoint) -> None:
         self.interfaces.drains(target.id)
 
     def close(self) -> None:
--- a/tests/grpc_peer.py
+++ b/tests/grpc_peer.py
@@ -19,7 +19,7 @@
 from pipitshed.decisions.settings import settings_from
 from pipitshed.egress.grpc import GrpcCarrier
 from pipitshed.exchange.core import Core
-from pipitshed.exchange.parties import EgressTarget, Request
+from pipitshed.exchange.parties import Endpoint, Request
 from pipitshed.interfaces import planner_pb2 as pb
 from pipitshed.translation.file import read
 from pipitshed.translation.translator import Translator
@@ -234,7 +234,7 @@
     def list(self, *planners: GrpcPlanner, **changes: Any) -> None:
         self.core.routes.fill("test", ListKind.DELTA, 1, [
             (replace(Entry(planner.name.encode(), planner.zone, interface=2), **changes),
-             EgressTarget(planner.name.encode(), self.carrier, ("127.0.0.1", planner.port), 2))
+             Endpoint(planner.name.encode(), self.carrier, ("127.0.0.1", planner.port), 2))
             for planner in planners])
 
     def request(self, job_class: str = "quote", body: bytes | None = None, **more: Any) -> Request:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -13,7 +13,7 @@
 from pipitshed.decisions.interface import Event, Finished, LinkLost, ListKind, Note, Refuse
 from pipitshed.egress.http import HttpCarrier
 from pipitshed.exchange.core import Core
-from pipitshed.exchange.parties import EgressTarget, Exchange, Hop, Request
+from pipitshed.exchange.parties import Endpoint, Exchange, Attempt, Request
 from pipitshed.ingress.listener import Listener
 
 
@@ -34,7 +34,7 @@
         asked = asyncio.Event()
         core = Core(settings(list_on_request=True), 1, HastyLoop())  # type: ignore[arg-type]
         core.ask_list = lambda watch: asked.set()
-        lines = [(entry, EgressTarget(entry.worker, None, None)) for entry in entries(3)]  # type: ignore[arg-type]
+        lines = [(entry, Endpoint(entry.worker, None, None)) for entry in entries(3)]  # type: ignore[arg-type]
         core.routes.fill("test", ListKind.CACHED, 1, lines)
         await asyncio.wait_for(asked.wait(), 5)
 
@@ -63,9 +63,9 @@
 
             core.post = post  # type: ignore[method-assign]
             carrier = HttpCarrier(core, [], loop)
-            target = EgressTarget(b"p1", carrier, ("127.0.0.1", planner.port))
+            target = Endpoint(b"p1", carrier, ("127.0.0.1", planner.port))
             exchange = Exchange(1, Request("a1", 0, 5000.0, 0), Mock(), loop.time() + 5)
-            carrier.carry(Hop(exchange, 0, target, loop.time(), loop.time() + 5))
+            carrier.carry(Attempt(exchange, 0, target, loop.time(), loop.time() + 5))
             await asyncio.wait_for(lost.wait(), 5)
             assert [type(event) for event in events] == [Note, Finished, LinkLost]
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,7 +18,7 @@
 from pipitshed.egress.gearman import GearmanCarrier, Place
 from pipitshed.egress.http import HttpCarrier
 from pipitshed.exchange.core import Core
-from pipitshed.exchange.parties import EgressTarget, Exchange, Request
+from pipitshed.exchange.parties import Endpoint, Exchange, Request
 from pipitshed.wire.gearman import Kind, pack
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -42,7 +42,7 @@
 
     def lists(self, port: int, state: State = State.READY) -> None:
         [entry] = entries(1)
-        target = EgressTarget(entry.worker, self.carrier, ("127.0.0.1", port))
+        target = Endpoint(entry.worker, self.carrier, ("127.0.0.1", port))
         self.core.routes.fill("test", ListKind.DELTA, 1, [(replace(entry, state=state), target)])
         self.worker = entry.worker
 
@@ -89,7 +89,7 @@
             elif crossing == "the window ends":
                 loop = asyncio.get_running_loop()
                 passed = asyncio.Event()
-                loop.call_at(exchange.hops[0].write_by + 0.001, passed.set)
+                loop.call_at(exchange.attempts[0].write_by + 0.001, passed.set)
                 await passed.wait()
             else:
                 rig.lists(planner.port, State.DRAINING if "drains" in crossing else State.GONE)
@@ -136,7 +136,7 @@
 
 @story
 async def test_an_answer_whose_end_never_comes_costs_its_connection_soon() -> None:
-    """`done` had been read, so the hop was over, and no timer was left to end the connection."""
+    """`done` had been read, so the attempt was over, and no timer was left to end the connection."""
     async with Script(CHUNKED + DONE) as planner:
         rig = Rig()
         rig.lists(planner.port)
@@ -226,7 +226,7 @@
 
 @story
 async def test_a_worker_that_grabs_after_a_repeats_window_gets_nothing() -> None:
-    """A hop that waits for a Gearman worker is assigned when that asks, which may be after the window."""
+    """An attempt that waits for a Gearman worker is assigned when that asks, maybe after the window."""
     rig = Rig(Effect.KEYED)
     link = Mock()
     carrier = GearmanCarrier(rig.core, {"plan": 0}, Place(0, 0, 0, 1.0), 1000, asyncio.get_running_loop())
@@ -235,7 +235,7 @@
     exchange = rig.take("a1")
     rig.core._carry_out(Send(exchange.number, worker.target.id, write_within=1.0))
     passed = asyncio.Event()
-    asyncio.get_running_loop().call_at(exchange.hops[0].write_by + 0.001, passed.set)
+    asyncio.get_running_loop().call_at(exchange.attempts[0].write_by + 0.001, passed.set)
     await passed.wait()
     worker.handle(Kind.GRAB_JOB, [])
     link.write.assert_called_once_with(pack(Kind.NO_JOB))
--- a/tests/test_fuzz_frames.py
+++ b/tests/test_fuzz_frames.py
@@ -1,4 +1,4 @@
-"""Whatever bytes a planner sends: no exception reaches the loop, each hop has one outcome, memory is bounded.
+"""Whatever bytes a planner sends: no exception reaches the loop, one outcome an attempt, memory is bounded.
 
 `PIPITSHED_FUZZ=100000 pytest tests/test_fuzz_frames.py` tries as many cases; CI tries a few hundred.
 """
@@ -17,7 +17,7 @@
 
 from pipitshed.decisions.interface import Send
 from pipitshed.egress.grpc_connection import UNREAD_LIMIT, Connection
-from pipitshed.exchange.parties import EgressTarget
+from pipitshed.exchange.parties import Endpoint
 from pipitshed.interfaces import planner_pb2 as pb
 from pipitshed.wire.grpc import MESSAGE_LIMIT, frame
 
@@ -101,14 +101,14 @@
 
 @settings(max_examples=CASES, deadline=None, suppress_health_check=list(HealthCheck))
 @given(st.lists(frames, max_size=12), st.booleans(), st.integers(1, 64), st.integers(0, 12))
-def test_any_frames_leave_one_outcome_for_each_hop(
+def test_any_frames_leave_one_outcome_for_each_attempt(
         parts: list[bytes], greets: bool, piece: int, drop: int) -> None:
     async def run() -> None:
         faults: list[Any] = []
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda _, context: faults.append(context))
         async with bench() as world:
-            connection = Connection(world.carrier, EgressTarget(b"p1", world.carrier, ("127.0.0.1", 1), 2))
+            connection = Connection(world.carrier, Endpoint(b"p1", world.carrier, ("127.0.0.1", 1), 2))
             world.carrier._connections["127.0.0.1", 1] = connection
             world.carrier._all.add(connection)
             world.core.routes._targets[b"p1"] = connection.target
@@ -131,7 +131,7 @@
             connection.connection_lost(None)
             await asyncio.sleep(0)
             for caller in callers:
-                assert all(hop.over for hop in caller.exchange.hops) and len(caller.told) <= 1
+                assert all(attempt.over for attempt in caller.exchange.attempts) and len(caller.told) <= 1
             assert not connection.streams and not connection.queue and not faults, faults
             for caller in callers:
                 world.leave(caller)
--- a/tests/test_gearman_front.py
+++ b/tests/test_gearman_front.py
@@ -56,8 +56,8 @@
             if function == b"plan_quote":
                 second = await GearmanPeer.to(running.gearman_port)
                 await second.register(function)
-                hop, _, body = await second.grab()
-                second.say(Kind.WORK_COMPLETE, hop, b"plan of " + body)
+                attempt, _, body = await second.grab()
+                second.say(Kind.WORK_COMPLETE, attempt, b"plan of " + body)
                 assert await client.expect(Kind.WORK_COMPLETE) == [handle, b"plan of six"]
         assert await client.expect(Kind.WORK_FAIL) == [handle]
         other = await GearmanPeer.to(running.gearman_port)
@@ -83,8 +83,8 @@
         await first.expect(Kind.NOOP)
         await second.register(b"book_pallet")
         first.writer.transport.abort()
-        hop, _, _ = await second.grab()
-        second.say(Kind.WORK_COMPLETE, hop, b"booked")
+        attempt, _, _ = await second.grab()
+        second.say(Kind.WORK_COMPLETE, attempt, b"booked")
         assert await client.expect(Kind.WORK_COMPLETE) == [handle, b"booked"]
 
 
@@ -94,10 +94,10 @@
         worker, gone, client, late = [await GearmanPeer.to(running.gearman_port) for _ in range(4)]
         await worker.register(b"book_pallet")
         await gone.submit(b"book_pallet", b"b1", b"six")
-        hop, _, _ = await worker.grab()
+        attempt, _, _ = await worker.grab()
         gone.writer.transport.abort()
         handles = [await client.submit(b"book_pallet", b"b1", b"six") for _ in range(2)]
-        worker.say(Kind.WORK_COMPLETE, hop, b"booked")
+        worker.say(Kind.WORK_COMPLETE, attempt, b"booked")
         worker.say(Kind.PRE_SLEEP)
         answers = [await client.expect(Kind.WORK_COMPLETE) for _ in handles]
         assert answers == [[handle, b"booked"] for handle in handles]
@@ -116,13 +116,13 @@
         await other.register(b"book_pallet")
         draining.say(Kind.CANT_DO, b"book_pallet")  # what waits there goes to the other
         for number in range(5):
-            hop, _, _ = await other.grab()
-            other.say(Kind.WORK_COMPLETE, hop, b"booked")
+            attempt, _, _ = await other.grab()
+            other.say(Kind.WORK_COMPLETE, attempt, b"booked")
             other.say(Kind.PRE_SLEEP)
             assert await client.expect(Kind.WORK_COMPLETE) == [waiting, b"booked"]
             waiting = await client.submit(b"book_pallet", b"b%d" % (number + 1), b"six")
-        hop, _, _ = await other.grab()
-        other.say(Kind.WORK_COMPLETE, hop, b"booked")
+        attempt, _, _ = await other.grab()
+        other.say(Kind.WORK_COMPLETE, attempt, b"booked")
         draining.say(Kind.GRAB_JOB)
         await draining.expect(Kind.NO_JOB)
 
@@ -130,7 +130,7 @@
 @pytest.mark.parametrize(("function", "kinds"), [
     (b"plan_quote", [Kind.WORK_WARNING, Kind.WORK_FAIL]), (b"book_pallet", [Kind.WORK_FAIL])])
 def test_the_answer_comes_before_the_deadline(function: bytes, kinds: list[Kind]) -> None:
-    """And the hop ends with it: its worker's connection is closed."""
+    """And the attempt ends with it: its worker's connection is closed."""
     @story
     async def run() -> None:
         async with program(front=FRONT.replace(' }', ', patience-s = 0.3 }')) as running:
@@ -147,7 +147,7 @@
 
 @story
 async def test_a_worker_has_as_long_as_it_said() -> None:
-    """CAN_DO_TIMEOUT ends the hop long before the class's deadline, and its worker's connection with it."""
+    """CAN_DO_TIMEOUT ends the attempt long before the class's deadline, and its worker's connection too."""
     async with program(front=FRONT) as running:
         worker, client = [await GearmanPeer.to(running.gearman_port) for _ in range(2)]
         worker.say(Kind.CAN_DO_TIMEOUT, b"book_pallet", b"1")
@@ -194,8 +194,8 @@
         client.say(Kind.OPTION_REQ, b"exceptions")
         assert await client.expect(Kind.OPTION_RES) == [b"exceptions"]
         handle = await client.submit(b"book_pallet", b"b1", b"six")
-        hop, _, _ = await worker.grab()
-        worker.say(Kind.WORK_STATUS, hop, b"1", b"4")
+        attempt, _, _ = await worker.grab()
+        worker.say(Kind.WORK_STATUS, attempt, b"1", b"4")
         assert await client.expect(Kind.WORK_STATUS) == [handle, b"25", b"100"]
         client.say(Kind.GET_STATUS, handle)
         assert await client.expect(Kind.STATUS_RES) == [handle, b"1", b"1", b"25", b"100"]
@@ -204,7 +204,7 @@
         assert lines[:3] == ["plan_quote\t0\t0\t0", "book_pallet\t1\t1\t1", "."]
         assert lines[3:5] == ["- - depot-7 : book_pallet", "."] and lines[5].startswith("OK pipitshed")
         assert lines[6].startswith("ERR")
-        worker.say(Kind.WORK_EXCEPTION, hop, b"no truck")
+        worker.say(Kind.WORK_EXCEPTION, attempt, b"no truck")
         assert await client.expect(Kind.WORK_EXCEPTION) == [handle, b"no truck"]
         assert await client.expect(Kind.WORK_FAIL) == [handle]
         client.say(Kind.GET_STATUS, handle)
@@ -263,14 +263,14 @@
                     worker.say(Kind.PRE_SLEEP)
                     await worker.expect(Kind.NOOP)
                     worker.say(Kind.GRAB_JOB_UNIQ)
-                    hop, _, unique, body = await worker.expect(Kind.JOB_ASSIGN_UNIQ)
+                    attempt, _, unique, body = await worker.expect(Kind.JOB_ASSIGN_UNIQ)
                     runs[unique.decode()] += 1
                     if body == b"lose":
                         break
                     if body == b"fail":
-                        worker.say(Kind.WORK_FAIL, hop)
+                        worker.say(Kind.WORK_FAIL, attempt)
                     elif body == b"serve":
-                        worker.say(Kind.WORK_COMPLETE, hop, b"plan of " + body)
+                        worker.say(Kind.WORK_COMPLETE, attempt, b"plan of " + body)
             except asyncio.IncompleteReadError:
                 pass  # a stalled job was given up
             worker.writer.transport.abort()
--- a/tests/test_grpc_egress.py
+++ b/tests/test_grpc_egress.py
@@ -1,4 +1,4 @@
-"""Hops over gRPC against a planner that is scripted frame by frame: one test for each line of the table."""
+"""Attempts over gRPC against a planner that is scripted frame by frame: a test for each line of the table."""
 
 import asyncio
 from typing import Any
@@ -45,7 +45,7 @@
 
 
 @story
-async def test_many_hops_share_one_connection_within_the_planners_limit() -> None:
+async def test_many_attempts_share_one_connection_within_the_planners_limit() -> None:
     async with GrpcPlanner(act=silent, max_concurrent_streams=2) as planner, bench(planner) as made:
         callers = [made.ask("book") for _ in range(3)]
         await planner.call(2)
@@ -96,14 +96,14 @@
                 call.done()
             await asyncio.sleep(0.05)
             assert not caller.told and made.core.busy == 0
-        assert made.core.tally["hop CANCELLED"] + made.core.tally["hop OK"] == 2
+        assert made.core.tally["attempt CANCELLED"] + made.core.tally["attempt OK"] == 2
         caller = made.ask()
         (await planner.call(3)).done()
         assert (await caller.answer())[0] == "served" and len(planner.peers) == 1
 
 
 @story
-async def test_a_late_answer_to_a_cancelled_hop_leaves_the_others_alone() -> None:
+async def test_a_late_answer_to_a_cancelled_attempt_leaves_the_others_alone() -> None:
     """Guards the connection: the head of an answer on a stream that was called off and is forgotten is no
     stream that the planner opens."""
     def apart(call: Call) -> None:
@@ -122,7 +122,7 @@
         late.done()
         other.done()
         assert (await beside.answer())[0] == "served"
-        assert made.core.tally["hop RESET"] == 0 and not planner.peers[0].lost.is_set()
+        assert made.core.tally["attempt RESET"] == 0 and not planner.peers[0].lost.is_set()
         made.leave(third)
 
 
@@ -188,7 +188,7 @@
             caller = made.ask("book", patience=2000.0)
             how, _ = await caller.answer()
             await asyncio.sleep(0.01)
-            assert made.core.tally[f"hop {tally}"] >= 1, made.core.tally
+            assert made.core.tally[f"attempt {tally}"] >= 1, made.core.tally
             if tally in ("RESET", "ERROR", "TIMEOUT"):
                 assert len(planner.calls) == 1 and how == "failed"
             else:
@@ -206,7 +206,7 @@
         mute.settings = old.settings = None
         caller = made.ask("book", patience=600.0)
         assert (await caller.answer())[0] == "refused"
-        assert made.core.tally["hop RESET"] == 0 and made.core.tally["hop CONNECT_FAILED"] >= 1
+        assert made.core.tally["attempt RESET"] == 0 and made.core.tally["attempt CONNECT_FAILED"] >= 1
         made.carrier.on_wrong_interface = wrong.append
         made.list(mute, state=State.GONE)
         made.list(old)
@@ -217,13 +217,13 @@
         await old.peers[0].lost.wait()
         await asyncio.sleep(0.02)
         assert [target.id for target in wrong] == [b"old"]
-        assert made.core.tally["hop RESET"] == 0
+        assert made.core.tally["attempt RESET"] == 0
 
 
 @story
 async def test_a_body_of_64_kib_goes_through_a_window_of_a_few_bytes() -> None:
-    """A thousand frames of 64 bytes: the hop beside it is not held up, and both are whole. (A window of one
-    byte took 15 s of CPU in pure Python, the whole patience of the story.)"""
+    """A thousand frames of 64 bytes: the attempt beside it is not held up, and both are whole. (A window of
+    one byte took 15 s of CPU in pure Python, the whole patience of the story.)"""
     item = b'{"sku":"%s","count":7}' % (b"P" * 20)
     body = BOOK[:-1] + b',"goods":[' + b",".join([item] * ((65_000 - len(BOOK)) // (len(item) + 1))) + b"]}"
     assert 64_000 < len(body) <= 65_536
@@ -247,7 +247,7 @@
         made.list(other)
         stuck.cut()
         assert (await caller.answer())[0] == "served"
-        assert made.core.tally["hop CONNECT_FAILED"] == 1 and not stuck.calls and len(other.calls) == 1
+        assert made.core.tally["attempt CONNECT_FAILED"] == 1 and not stuck.calls and len(other.calls) == 1
 
 
 @story
@@ -280,7 +280,7 @@
         made.list(other)
         begun = made.loop.time()
         assert (await caller.answer())[0] == "served"
-        assert 2.0 < made.loop.time() - begun < 4.0 and made.core.tally["hop RESET"] == 1
+        assert 2.0 < made.loop.time() - begun < 4.0 and made.core.tally["attempt RESET"] == 1
 
 
 @story
@@ -373,4 +373,4 @@
         for _ in range(10):
             made.ask("book", hazard)
         await older.call(10)
-        assert not newer.calls and made.core.tally["hop MOOT"] == 0
+        assert not newer.calls and made.core.tally["attempt MOOT"] == 0
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -65,7 +65,7 @@
 
 @pytest.mark.parametrize("job_class, status", [("quote", 503), ("book", 500)])
 def test_a_silent_planner_costs_no_answer(job_class: str, status: int) -> None:
-    """The final answer comes before the deadline, and the hop's connection is closed with it."""
+    """The final answer comes before the deadline, and the attempt's connection is closed with it."""
     @story
     async def run() -> None:
         async with Planner("p1", act=lambda run: run.say("started")) as planner, program(planner) as running:
@@ -80,7 +80,7 @@
 
 
 @story
-async def test_a_client_that_goes_takes_its_hop_with_it() -> None:
+async def test_a_client_that_goes_takes_its_attempt_with_it() -> None:
     async with Planner("p1", act=lambda run: run.say("started")) as planner, program(planner) as running:
         client = await HttpClient.to(running.port)
         client.ask("a1")
--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -28,7 +28,7 @@
 
 @story
 async def test_figures_count_what_clients_were_answered_and_what_planners_were_sent() -> None:
-    """Served, refused and failed by class; hops written whole; the list's size."""
+    """Served, refused and failed by class; attempts written whole; the list's size."""
     acts = iter([lambda run: run.serve(), lambda run: run.say("failed"), lambda run: run.serve()])
     async with (Planner("p1", act=lambda run: next(acts)(run)) as planner, Catalog(planner) as catalog,
                 program(catalog=catalog, mgmt=True, settings={"permissions": {"maxAttempts": 1}}) as running):
--- a/tests/test_old_clients.py
+++ b/tests/test_old_clients.py
@@ -139,8 +139,8 @@
 
 
 @story
-async def test_a_planner_comes_back_with_the_other_interface_while_hops_are_out() -> None:
-    """Its hops break, its interface is found out anew, and the safe job is drawn again."""
+async def test_a_planner_comes_back_with_the_other_interface_while_attempts_are_out() -> None:
+    """Its attempts break, its interface is found out anew, and the safe job is drawn again."""
     async with GrpcPlanner(act=lambda call: call.started()) as newer:
         row = Row("p1", newer.port)
         async with program(row, front=TRANSLATE, settings={"rules": {"askWithin": 500.0}}) as running:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -128,9 +128,9 @@
     for number in range(3000):
         planner, job_class = rng.choice(list(speed)), rng.choice(list(work))
         ran = work[job_class] / speed[planner] * math.exp(rng.gauss(0, 0.4))
-        lines.append(json.dumps({"event": "hop", "planner": planner, "class": job_class, "tenant": "x",
+        lines.append(json.dumps({"event": "attempt", "planner": planner, "class": job_class, "tenant": "x",
                                  "at": number / 10, "ran": ran, "outcome": "OK"}).encode())
-    found = learn([*lines, b"INFO no such line", b'{"event":"hop","outcome":"RESET"}'])
+    found = learn([*lines, b"INFO no such line", b'{"event":"attempt","outcome":"RESET"}'])
     assert found.skipped == 2
     for name, value in speed.items():
         one = found.speed[name]
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -275,7 +275,7 @@
 @story
 async def test_a_pool_of_many_planners_leaves_clients_and_discovery_their_descriptors() -> None:
     """One connection rests for each of fifty planners, and the process may hold 64: the longest at rest makes
-    room for a client, a hop, and discovery's call."""
+    room for a client, an attempt, and discovery's call."""
     async with contextlib.AsyncExitStack() as stack:
         planners = [await stack.enter_async_context(Planner(f"p{number}")) for number in range(50)]
         catalog = await stack.enter_async_context(Catalog(*planners))
