SIGTERM in the turn in which a step of the fleet's view is due: the end is no longer lost

Its log, kept by a scratch run: `AttributeError: 'uvloop.loop.Handle' object has no attribute 'when'` in peers.fleet.Fleet._arm, called by leave, called by Scheduler.drain before the timers of the end were set. uvloop gives a plain handle for a call that is due at once. Ruled out: a lost signal ("ending:" was logged), connections that are owed. The same call stood in HttpCarrier.retune (two SIGHUPs in one turn, connections past their new idle time).

Change: both keep the time themselves; drain sets its timers first. Only `--fleet` could meet it at the end. tests/test_peers.py has the turn, under uvloop: AttributeError before, passes now.

--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -93,6 +93,7 @@
         self.probed: Endpoint | None = None
         self.begun = 0.0
         self.idle_timer: asyncio.TimerHandle | None = None
+        self.idle_until = 0.0  # loop time; uvloop's timer has none where it is due at once
         self._carrier = carrier
         self._reader = Reader(self, LINE_LIMIT)
         self._transport: asyncio.Transport | None = None
@@ -289,9 +290,9 @@
         for connections in self._idle.values():
             for connection in connections:
                 if connection.idle_timer is not None:
-                    due = connection.idle_timer.when() - (idle_for - self._idle_for)
+                    connection.idle_until -= idle_for - self._idle_for
                     connection.idle_timer.cancel()
-                    connection.idle_timer = self.loop.call_at(due, connection.close)
+                    connection.idle_timer = self.loop.call_at(connection.idle_until, connection.close)
 
     def carry(self, attempt: Attempt) -> None:
         connection = self._take(attempt.target.address)
@@ -410,7 +411,8 @@
         """The connection can carry the next request; it is closed before the planner would close it."""
         self._idle.setdefault(connection.address, []).append(connection)
         self._resting[connection] = None
-        connection.idle_timer = self.loop.call_later(self._idle_for, connection.close)
+        connection.idle_until = self.loop.time() + self._idle_for
+        connection.idle_timer = self.loop.call_at(connection.idle_until, connection.close)
 
     def lost(self, connection: _Connection) -> None:
         self._up.discard(connection)
--- a/pipitshed/peers/fleet.py
+++ b/pipitshed/peers/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import secrets
 import socket
@@ -46,6 +47,7 @@
         self._datagrams = Datagrams(self._codec, loop, self._heard, self._known, self._count)
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._due = math.inf  # loop time of that timer; uvloop's has none where it is due at once
         self._told = ""  # the digest that the event log has last
         self._closed = False
 
@@ -91,10 +93,11 @@
     def _arm(self) -> None:
         """Wake when the protocol has something to do; an earlier wake stands."""
         due = self.membership.due()
-        if self._closed or (self._timer is not None and self._timer.when() <= due):
+        if self._closed or (self._timer is not None and self._due <= due):
             return
         if self._timer is not None:
             self._timer.cancel()
+        self._due = due
         self._timer = self._loop.call_at(due, self._step)
 
     # ---- out
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -260,12 +260,12 @@
         longest = max(cls.deadline for cls in self.core.settings.classes) / 1000
         self._end_by = self._loop.time() + LISTEN_ON + longest + LONGEST_END
         self.front.ready = False
-        if self.fleet is not None:
-            self.fleet.leave()
         self._loop.call_later(LISTEN_ON, self._close_doors)
         # Guards against a roll in which nobody is left to go to: clients sent away at once find the peer that
         # was restarted just before still down.
         self._loop.call_later(min(STAY, STAY_PART * self._answer_by()), self._send_away)
+        if self.fleet is not None:
+            self.fleet.leave()  # last: nothing that goes wrong in it keeps the program from its end
 
     def _answer_by(self) -> float:
         """The time after SIGTERM (s) by which all that came late is answered. Guards against the figure of a
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import pytest
+import uvloop
 from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -160,6 +161,24 @@
     return [word.name for word in fleet.membership.view.living()]
 
 
+def test_a_step_that_is_due_at_once_is_armed_again_without_an_exception() -> None:
+    """The failure met: SIGTERM in the turn in which a step was due; uvloop's handle of a call that is due at
+    once tells no time, and the exception kept the program from its end."""
+    async def run() -> None:
+        [fleet] = await joined(1)
+        steps: list[float] = []
+        fleet.membership.due = lambda: 0.0  # type: ignore[method-assign]
+        fleet.membership.tick = lambda now: steps.append(now) or []  # type: ignore[method-assign, func-returns-value]
+        fleet._timer = None
+        fleet._arm()
+        fleet.leave()
+        fleet._arm()
+        await until(lambda: bool(steps))
+        fleet.close()
+
+    uvloop.run(asyncio.wait_for(run(), 20))
+
+
 @story
 async def test_schedulers_join_find_a_death_and_take_a_good_bye() -> None:
     fleets = await joined(4)
