Requests behind a flood's end, in the same read, are not taken

Seen on reading the door once more: `_flood` ends the connection inside the parser, which goes on through the same read; what stood behind was appended and taken after the shutdown (_Connection.on_message_complete), and its `_in_time` cancelled the timer that ends the connection, so the program's end waited 16 s for it. Ruled out: a request with `Connection: close` (the parser stops there itself), errors (they leave the parser). Change: nothing is taken once the last is known.

--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -307,6 +307,8 @@
         self._buffer.append(data)
 
     def on_message_complete(self) -> None:
+        if self._last:
+            return  # behind a flood, or a shutdown, in the same read
         self._head_size = self._size = 0
         self._begun = False
         self._in_time()
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -129,17 +129,25 @@
     """Each in its turn: a few are served, those beyond are refused, and one that sends on and on is ended."""
     async with Planner("p1") as planner, program(planner) as running:
         client = await HttpClient.to(running.port)
+        running.process.send_signal(signal.SIGSTOP)  # so that all of it is read at once
         for number in range(2 * FLOOD):
-            client.ask(f"a{number}")
+            client.ask(f"a{number}", body=b"")
+        await client.writer.drain()
+        running.process.send_signal(signal.SIGCONT)
         statuses = []
         with contextlib.suppress(asyncio.IncompleteReadError):
             while True:
                 statuses.append((await client.answer())[0])
         assert set(statuses) <= {200, 503, 500} and len(statuses) >= FLOOD
-        assert len(planner.runs) <= PIPELINED + 1
+        taken = {f"a{number}" for number in range(PIPELINED + 1)}  # none of those behind the end in one read
+        assert {run.headers["x-request-id"] for run in planner.runs} <= taken
         usual = await HttpClient.to(running.port)
         usual.ask("b1")
         assert (await usual.answer())[0] == 200
+        begun = asyncio.get_running_loop().time()
+        running.process.send_signal(signal.SIGTERM)
+        await running.logged("ended:")
+        assert asyncio.get_running_loop().time() - begun < 6.0  # nothing of it is owed; the deadline is 15 s
 
 
 @story
