--- a/benchmarks/planted.py
+++ b/benchmarks/planted.py
@@ -22,7 +22,7 @@
 import msgspec
 
 HERE = Path(__file__).parent.parent
-COPIED = ("pipitshed", "tests", "deploy", "experiments", "docs/interfaces")
+COPIED = ("pipitshed", "tests", "deploy", "experiments", "benchmarks", "docs/interfaces")
 FAILED = 1  # pytest's exit code where tests ran and some failed
 
 
