A crowd in one turn waits in the queue while those before it make room

Change: while some are under way and there is no room beside them, the queue waits for the next turn; no client is turned away for planners' connections.

--- a/pipitshed/ingress/listener.py
+++ b/pipitshed/ingress/listener.py
@@ -46,6 +46,8 @@
 
     def _take(self, most: float) -> None:
         while self._open and most > 0:
+            if most <= AT_ONCE and self._tasks and not self._room(len(self._tasks)):
+                return  # those under way may make room first: the queue waits for the next turn
             most -= 1
             try:
                 accepted, _ = self._socket.accept()
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -117,9 +117,11 @@
         return max(sockets - max(LEAST_SPARE, sockets // SPARE_PART) - clients, sockets // ATTEMPTS_PART)
 
     def _room(self, pending: int) -> bool:
-        """Whether one more client is taken; a planner's connection that rests makes room for it."""
-        return self.front.has_room(pending) and (
-            self.carrier.connections + pending < self._left() or self.carrier.shed())
+        """Whether one more client is taken. Where descriptors run short, a planner's connection that rests
+        makes room; no client is turned away for want of one, as it may displace another client itself."""
+        if self.carrier.connections + pending >= self._left():
+            self.carrier.shed()
+        return self.front.has_room(pending)
 
     def ready(self) -> bool:
         """Whether this process is ready to serve: listening, not ending, and with a list from discovery (or
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -303,3 +303,22 @@
         for one in crowd:
             assert (await one.answer())[0] == 200
         await catalog.watches.get()
+
+
+@story
+async def test_a_crowd_that_comes_at_once_makes_room_by_those_that_sent_nothing() -> None:
+    """Guards against newcomers turned away for the descriptors of planners: each displaces an idle one."""
+    async with Planner("p1") as planner, program(planner, sockets=40) as running:
+        silent = [await HttpClient.to(running.port) for _ in range(15)]
+        usual = await HttpClient.to(running.port)
+        usual.ask("a1")
+        assert (await usual.answer())[0] == 200
+        running.process.send_signal(signal.SIGSTOP)  # so that all of them stand in the queue
+        crowd = [await HttpClient.to(running.port) for _ in range(15)]
+        for number, client in enumerate(crowd):
+            client.ask(f"b{number}")
+        running.process.send_signal(signal.SIGCONT)
+        for client in crowd:
+            assert (await client.answer())[0] == 200
+        for client in silent:
+            assert await client.reader.read() == b""
