The door's room is asked without closing anything; a new client makes room once

Read once more: Scheduler._room closed a planner's resting connection each time that it was asked, and Listener asks twice for one client. The closing is now in the factory of a client's connection, once for each, and room is the front's own answer.

--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -95,7 +95,7 @@
         self.plan = self._plan(config, front) if front.plan is not None else None
         self.front = HttpFront(self.core, Reading(self.core, config.classes, config.tenants, translator),
                                int(config.sockets * CLIENTS_PART), loop)
-        self.listeners = [Listener(config.listen, self.front.connection, loop, self._room, config.passed)]
+        self.listeners = [Listener(config.listen, self._client, loop, self.front.has_room, config.passed)]
         if front.listen:
             gearman = self.gearman = self._gearman(config, front, zones, kinds)
             self.listeners += [Listener(address, gearman.connection, loop, gearman.has_room)
@@ -116,12 +116,12 @@
             clients += len(self.gearman.connections)
         return max(sockets - max(LEAST_SPARE, sockets // SPARE_PART) - clients, sockets // ATTEMPTS_PART)
 
-    def _room(self, pending: int) -> bool:
-        """Whether one more client is taken. Where descriptors run short, a planner's connection that rests
-        makes room; no client is turned away for want of one, as it may displace another client itself."""
-        if self.carrier.connections + pending >= self._left():
+    def _client(self) -> asyncio.Protocol:
+        """A new client's connection. Where descriptors run short, a planner's connection that rests makes
+        room; no client is turned away for want of one, as it may displace another client itself."""
+        if self.carrier.connections >= self._left():
             self.carrier.shed()
-        return self.front.has_room(pending)
+        return self.front.connection()
 
     def ready(self) -> bool:
         """Whether this process is ready to serve: listening, not ending, and with a list from discovery (or
