--- /dev/null
+++ b/benchmarks/capacity/machine.py
@@ -0,0 +1,63 @@
+"""Whether the machine, not the program, was the limit."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+from collections.abc import AsyncIterator
+from pathlib import Path
+from time import monotonic
+
+EVERY = 0.02  # s between looks
+LATE = 0.05  # s of lateness beyond which a row says nothing of the program
+
+
+class Lateness:
+    """How late this process's own loop was, at the worst."""
+
+    def __init__(self) -> None:
+        self.worst = 0.0  # s
+
+    @property
+    def why_not(self) -> str:
+        """Why a row does not count; empty where it does."""
+        return f"the measuring loop was {self.worst * 1000:.0f} ms late" if self.worst > LATE else ""
+
+    async def _look(self) -> None:
+        while True:
+            due = monotonic() + EVERY
+            await asyncio.sleep(EVERY)
+            self.worst = max(self.worst, monotonic() - due)
+
+
+@contextlib.asynccontextmanager
+async def lateness() -> AsyncIterator[Lateness]:
+    """Watch the running loop for the block."""
+    watched = Lateness()
+    task = asyncio.create_task(watched._look())
+    try:
+        yield watched
+    finally:
+        task.cancel()
+
+
+def cpu_s(pid: int) -> float:
+    """Seconds of CPU that a process of one thread has used; counted in ns where the kernel tells them."""
+    with contextlib.suppress(OSError, ValueError, IndexError):
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+    stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(stat[11]) + int(stat[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def memory_mb(pid: int) -> float:
+    """What a process holds in memory now (RSS)."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def descriptors(pid: int) -> int:
+    """How many descriptors a process has open."""
+    return len(os.listdir(f"/proc/{pid}/fd"))
--- /dev/null
+++ b/benchmarks/capacity/page.py
@@ -0,0 +1,36 @@
+"""Puts the generated tables between the page's markers, and says where page and JSON differ."""
+
+from __future__ import annotations
+
+import difflib
+import re
+from collections.abc import Callable, Mapping
+
+from benchmarks.capacity.records import ROOT, Run
+from benchmarks.capacity.tables import TABLES
+
+PAGE = ROOT / "docs" / "CAPACITY.md"
+BLOCK = re.compile(r"(<!-- capacity:([a-z0-9-]+) -->\n).*?(<!-- /capacity -->)", re.DOTALL)
+
+
+class PageError(ValueError):
+    """The page asks for a table that nobody makes."""
+
+
+def made(text: str, runs: Mapping[str, Run],
+         tables: Mapping[str, Callable[[Mapping[str, Run]], str]] = TABLES) -> str:
+    """The page with each marked block made anew."""
+    def block(match: re.Match[str]) -> str:
+        begin, name, end = match.groups()
+        if name not in tables:
+            raise PageError(f"no table {name!r}: {', '.join(tables)}")
+        return f"{begin}{tables[name](runs)}\n{end}"
+
+    return BLOCK.sub(block, text)
+
+
+def differs(text: str, runs: Mapping[str, Run]) -> str:
+    """The difference between the page and what the JSON says; empty where there is none."""
+    wanted = made(text, runs)
+    return "".join(difflib.unified_diff(text.splitlines(True), wanted.splitlines(True), "the page",
+                                        "what the JSON says"))
--- /dev/null
+++ b/benchmarks/capacity/slopes.py
@@ -0,0 +1,30 @@
+"""The modules that measure. Each has `SLOPE`, `SIZES` and `measure(sizes, limit_s)`."""
+
+from __future__ import annotations
+
+import importlib
+from collections.abc import Sequence
+from typing import Protocol, cast
+
+from benchmarks.capacity.records import Row
+
+MODULES = ("planners", "held", "starts", "urgent", "gangs", "reload", "schedulers", "teams", "regions",
+           "hollow")
+
+
+class Measuring(Protocol):
+    """What a measuring module has."""
+
+    SLOPE: str
+    SIZES: tuple[int, ...]
+
+    def measure(self, sizes: Sequence[int], limit_s: float) -> list[Row]:
+        """The rows of these sizes; what the time (s) does not suffice for is left out or not valid."""
+        ...
+
+
+def module(slope: str) -> Measuring:
+    """The module that measures a slope; KeyError where none does."""
+    if slope not in MODULES:
+        raise KeyError(slope)
+    return cast(Measuring, importlib.import_module(f"benchmarks.capacity.{slope}"))
