--- a/benchmarks/capacity/fits.py
+++ b/benchmarks/capacity/fits.py
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True)
 class Fit:
-    """`a + b f(n)`; `rms` in the figure's own unit, `worst` the largest error, in parts of what was measured."""
+    """`a + b f(n)`; `rms` in the figure's own unit, `worst` the largest error in parts of what was measured."""
 
     form: str
     a: float
