A list's bound follows the memory limit; beyond it the watch goes on and one line says so

4,600 planners in an indented list (1,061 kB) passed the constant LIST_LIMIT (1,049 kB): the reader raised inside the parser's callback, which named its callback alone. No list was ever taken, and the watch was opened again and again (12 times in 14 s, 310 ms of CPU a second).

- The bound is a sixteenth of what limits.memory_mb is above 40 MB, 256 KiB at least: 9.96 MB at 192 MB.
A `serve` takes 30.8 MB at 20 planners; a list that comes a second time took 12.7 to 14.7 bytes for each of its own at its peak (VmHWM at 4,600, 9,200 and 20,000 planners, both forms).
- A longer piece is read to its end and dropped; its bytes and the bound are logged once until the words change.
The watch stays, changes behind it are taken, and the next call asks from the version before it.
- The reader tells what went wrong in a callback, so `no list: ...` is in the log again; each cause once.
- Pieces that come in lines are tried where their braces close, not at each line that ends like a list: the tries grew with the square.
Lines are gathered, not appended to one text; a buffer that is empty gives up room beyond 128 KiB, and long takes copy once.

--- a/pipitshed/config.py
+++ b/pipitshed/config.py
@@ -69,6 +69,7 @@
     discovery: tuple[str, int] | None
     seed: int
     sockets: int
+    memory_mb: float
     known: Members | None
     settings: Settings
     classes: list[str]
@@ -113,10 +114,11 @@
         mgmt = environment.get("LB_MGMT", "") or file.mgmt
         return Config(
             file.name or environment.get("LB_NAME", ""), listen, address_of(asked) if asked else None,
-            int(file.seed, 16), file.limits.sockets, file.known, _on_sockets(settings_from(file.settings)),
-            [one.name for one in names.services], [one.name for one in names.tenants], names.areas,
-            names.shapes, names.stats.fields, address_of(mgmt) if mgmt else None,
-            passed_socket(environment), raw, environment.get("LB_TRACE", ""))
+            int(file.seed, 16), file.limits.sockets, file.limits.memory_mb, file.known,
+            _on_sockets(settings_from(file.settings)), [one.name for one in names.services],
+            [one.name for one in names.tenants], names.areas, names.shapes, names.stats.fields,
+            address_of(mgmt) if mgmt else None, passed_socket(environment), raw,
+            environment.get("LB_TRACE", ""))
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except (msgspec.MsgspecError, SettingsError, ValueError) as error:
--- a/pipitshed/routes/discovery.py
+++ b/pipitshed/routes/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import re
 from typing import Protocol, cast
 
 import msgspec
@@ -12,7 +13,7 @@
 from pipitshed.decisions.interface import Entry, ListKind, State
 from pipitshed.exchange.parties import Carrier, Endpoint
 from pipitshed.exchange.route_table import Line, RouteTable
-from pipitshed.wire.http import BODY_LIMIT, BadAnswerError, Reader
+from pipitshed.wire.http import BadAnswerError, Reader
 
 SOURCE = "discovery"
 PATH = "/catalog/members"
@@ -24,7 +25,12 @@
 HEARTBEAT = 2.0  # s between empty lines while nothing changes
 SILENCE = HEARTBEAT + 0.4  # s after which a watch is taken for cut
 
-LIST_LIMIT = 16 * BODY_LIMIT  # bytes of a piece of news
+REST_MB = 40.0  # MB that the process has without a list, and what its clients' requests take beside it
+LIST_COST = 16.0  # bytes of memory that a byte of a list takes at its peak: 14.7 measured, as it comes again
+LEAST_BOUND = 256 * 1024  # bytes of a piece of news that are taken whatever the memory limit
+READ = 256 * 1024  # bytes that one read of a connection brings at most
+BEYOND = 10.0  # s within which a piece of news beyond the bound ends; any other call would bring it again
+_TEXTS = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')  # JSON's strings; none has a line's end in it
 
 log = logging.getLogger("pipitshed")
 
@@ -56,6 +62,12 @@
 _decode = msgspec.json.Decoder(Members).decode
 
 
+def list_bound(memory_mb: float) -> int:
+    """Bytes of a piece of news that a process with this memory limit (MB) takes: as many as fit into it
+    beside all else while they are read and parsed, with the list before still there."""
+    return max(LEAST_BOUND, int((memory_mb - REST_MB) * 1024 * 1024 / LIST_COST))
+
+
 def address_of(text: str) -> tuple[str, int]:
     """`host:port`; ValueError where it is not."""
     host, _, port = text.rpartition(":")
@@ -107,8 +119,9 @@
     ask again is theirs to decide."""
 
     def __init__(self, address: tuple[str, int], listing: Listing, table: RouteTable,
-                 loop: asyncio.AbstractEventLoop) -> None:
+                 loop: asyncio.AbstractEventLoop, bound: int = list_bound(192)) -> None:
         self.address = address
+        self.bound = bound  # bytes of a piece of news
         self.listing = listing
         self.table = table
         self.loop = loop
@@ -119,6 +132,7 @@
         self._idle_since = math.inf
         self._look: asyncio.TimerHandle | None = None
         self._watch: _Call | None = None
+        self._wrong = ""  # what was last said to be wrong with the news
         self._tasks: set[asyncio.Task[None]] = set()
 
     def hurry(self, grace: float) -> None:
@@ -179,10 +193,21 @@
         if self._look is not None:
             self._look.cancel()
 
-    def fill(self, members: Members, kind: ListKind) -> None:
-        """Put one piece of news into the route table."""
+    def wrong(self, text: str) -> None:
+        """Log what is wrong with the news, once until that changes: each further call may bring the same."""
+        if text != self._wrong:
+            self._wrong = text
+            log.warning("discovery: %s", text)
+
+    def right(self) -> None:
+        """News came as it should."""
+        self._wrong = ""
+
+    def fill(self, members: Members, kind: ListKind, version: int | None = None) -> None:
+        """Put one piece of news into the route table. `version` is what the list known is of then, where that
+        is not what the piece says: some that came before it was not taken."""
         lines = [self.listing.line(item) for item in members.instances]
-        self.version = members.generation
+        self.version = members.generation if version is None else version
         self.heard = self.heard or kind is not ListKind.CACHED
         self.table.fill(SOURCE, kind, members.generation, lines)
 
@@ -193,12 +218,18 @@
     def __init__(self, discovery: Discovery, watch: bool) -> None:
         self._discovery = discovery
         self._watch = watch
-        self._reader = Reader(self, LIST_LIMIT)
+        self._bound = discovery.bound
+        self._reader = Reader(self, self._bound + READ)
         self._transport: asyncio.Transport | None = None
         self._status = 0
         self._over = False
         self._heard = False  # a whole piece of news has come
-        self._piece = b""  # lines of a piece of news that goes on: lists may come indented
+        self._piece: list[bytes] = []  # lines of a piece of news that goes on: lists may come indented
+        self._size = 0  # bytes of them
+        self._open = 0  # braces of them that are not closed
+        self._beyond: int | None = None  # bytes so far of a piece beyond the bound, which is passed over
+        self._lines = False  # that piece comes in several lines
+        self._missed = False  # a piece was passed over, and no whole list has come since
         self._due: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
@@ -218,6 +249,8 @@
         if self._over:
             return
         self._over = True
+        if self._beyond is not None:
+            self._tell_beyond("more bytes yet", "was not read to its end")
         if self._due is not None:
             self._due.cancel()
         if self._transport is not None:
@@ -252,7 +285,7 @@
         try:
             self._reader.feed(data)
         except BadAnswerError as error:
-            log.warning("discovery: %s", error)
+            self._discovery.wrong(str(error))
             self.fail()
         except Exception:
             log.exception("news from discovery")
@@ -260,13 +293,13 @@
         # Guards against news that is held back in bytes that trickle: a piece has its time from its first
         # byte, and only a whole line, news or heartbeat, is a sign of life. What discovery tells counts as
         # told whether or not its end arrives.
-        if self._unfinished and not unfinished:
+        if self._unfinished and not unfinished and self._beyond is None:
             self._expect(PIECE)
 
     @property
     def _unfinished(self) -> bool:
         """Whether a piece of news has begun and must be whole soon."""
-        return bool(self._piece) or len(self._reader.buffer) > 0
+        return bool(self._piece) or self._beyond is not None or len(self._reader.buffer) > 0
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.fail()
@@ -279,12 +312,24 @@
             self._expect(PIECE)  # the first piece comes at once
 
     def body_came(self) -> None:
-        while self._watch and not self._over and (text := self._reader.buffer.line()) is not None:
-            self._line(text)
+        buffer, bound = self._reader.buffer, self._bound
+        for text in buffer.lines() if self._watch else ():
+            if self._over:
+                return
+            if self._beyond is None and self._size + len(text) > bound:
+                self._pass_over()
+            if self._beyond is not None:
+                self._passed(text)
+            else:
+                self._line(text)
+        if self._beyond is None and self._size + len(buffer) > bound:
+            self._pass_over()
+        if self._beyond is not None and (not self._watch or len(buffer) > READ):
+            self._beyond += len(buffer.take_all())
 
     def answer_ended(self, keep_alive: bool) -> None:
-        text = self._piece + self._reader.buffer.take_all()
-        whole = self._over or not text.strip() or self._take(text)
+        text = b"\n".join((*self._piece, self._reader.buffer.take_all()))
+        whole = self._over or (self._beyond is None and (not text.strip() or self._take(text)))
         if self._watch or self._status != 200 or not whole:
             self.fail()
         else:
@@ -292,27 +337,58 @@
 
     def _line(self, text: bytes) -> None:
         """One line of a watch: the heartbeat, news, or a part of news that comes indented."""
-        if not text.strip():
-            if self._heard and not self._piece:
+        if not self._piece:
+            if not text.strip():
+                if self._heard:
+                    self._expect(SILENCE)
+                return
+            if text.rstrip().endswith(b"}") and self._take(text):
                 self._expect(SILENCE)
-            return
-        self._piece += text + b"\n"
-        if len(self._piece) > LIST_LIMIT:
-            raise BadAnswerError("a piece of news is too long")
-        # Only where a line could be the last of its object is it worth a try.
-        if text.rstrip().endswith(b"}"):
-            piece, self._piece = self._piece, b""
+                return
+        self._piece.append(text)
+        self._size += len(text) + 1
+        # Guards against one try for each line of a long piece: it is whole where its braces are.
+        if b"{" in text or b"}" in text:
+            bare = _TEXTS.sub(b"", text)
+            self._open += bare.count(b"{") - bare.count(b"}")
+        if self._open <= 0:
+            piece = b"\n".join(self._piece)
+            self._piece, self._size, self._open = [], 0, 0
             if not self._take(piece):
-                self._piece = piece
-        if not self._piece:
+                raise BadAnswerError("no list: it ends before it is whole")
             self._expect(SILENCE)
 
+    def _pass_over(self) -> None:
+        """A piece of news is beyond the bound: it is read to its end and dropped, and the list known so far
+        stands. Guards discovery against a watch that is opened again and again, and brings the same."""
+        self._beyond, self._lines, self._missed = self._size, bool(self._piece), True
+        self._piece, self._size, self._open = [], 0, 0
+        self._expect(BEYOND)
+
+    def _passed(self, text: bytes) -> None:
+        """One line of a piece beyond the bound; of several the last begins with the brace that closes it, or
+        is the next heartbeat."""
+        self._beyond = (self._beyond or 0) + len(text) + 1
+        if not self._lines or not text.strip() or text.startswith(b"}"):
+            self._tell_beyond(f"{self._beyond} bytes", "is passed over")
+            self._beyond, self._heard = None, True
+            self._expect(SILENCE)
+
+    def _tell_beyond(self, size: str, how: str) -> None:
+        self._discovery.wrong(f"a list of {size} is beyond the bound of {self._bound} bytes that "
+                              f"limits.memory_mb sets; it {how}, and the list known so far stands")
+
     def _take(self, text: bytes) -> bool:
         """Put a piece of news into the table; False where it goes on. BadAnswerError where it is none."""
         try:
             members = _decode(text)
             self._heard = True
-            self._discovery.fill(members, ListKind.FULL if members.reset else ListKind.DELTA)
+            self._missed = self._missed and not members.reset
+            # What was passed over is still owed: the next call asks from the version before it.
+            self._discovery.fill(members, ListKind.FULL if members.reset else ListKind.DELTA,
+                                 self._discovery.version if self._missed else None)
+            if not self._missed:
+                self._discovery.right()
         except (msgspec.DecodeError, ValueError) as error:
             if "truncated" in str(error):
                 return False
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -22,7 +22,7 @@
 from pipitshed.mgmt.figures import Gauges, by_class, render
 from pipitshed.mgmt.front import MgmtFront
 from pipitshed.routes.discovery import SOURCE as DISCOVERY
-from pipitshed.routes.discovery import Discovery, Listing, Members, Names
+from pipitshed.routes.discovery import Discovery, Listing, Members, Names, list_bound
 from pipitshed.tuning.classes import GRACE, ClassBook
 from pipitshed.tuning.whole import lacking
 from pipitshed.wire.http import BODY_LIMIT
@@ -80,7 +80,7 @@
         if config.discovery is not None:
             self.discovery = Discovery(
                 config.discovery, Listing(DISCOVERY, zones, kinds, self.carrier, carriers), self.core.routes,
-                loop)
+                loop, list_bound(config.memory_mb))
             self.core.ask_list = self.discovery.ask
             self._hurry(config)
             # Guards against a start with no list that is known: the decisions ask once they are told one.
@@ -219,6 +219,7 @@
             log.warning("the configuration is read again; discovery can't be followed from or to nowhere")
             return
         self._hurry(config)
+        self.discovery.bound = list_bound(config.memory_mb)
         self.discovery.follow(config.discovery)
         log.info("the configuration is read again; discovery is at %s:%d", *config.discovery)
 
--- a/pipitshed/wire/buffer.py
+++ b/pipitshed/wire/buffer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 _FIRST = 1024
+_KEPT = 128 * 1024  # bytes of room that an empty buffer keeps
 
 
 class TooLongError(ValueError):
@@ -39,7 +40,11 @@
 
     def peek(self, size: int, at: int = 0) -> bytes:
         """`size` bytes from offset `at`, left in place."""
-        return bytes(self._data[self._start + at:min(self._end, self._start + at + size)])
+        first, end = self._start + at, min(self._end, self._start + at + size)
+        if size < _KEPT:
+            return bytes(self._data[first:end])
+        with memoryview(self._data) as view:  # long ones are copied once, not twice
+            return bytes(view[first:end])
 
     def take(self, size: int) -> bytes:
         """The first `size` bytes, used up."""
@@ -48,6 +53,8 @@
         self._seen = 0
         if self._start == self._end:
             self._start = self._end = 0
+            if len(self._data) > _KEPT:  # one long message does not keep its room for the connection's life
+                self._data = bytearray(_FIRST)
         return got
 
     def take_all(self) -> bytes:
@@ -61,3 +68,11 @@
             self._seen = self._end - self._start
             return None
         return self.take(place + 1 - self._start).rstrip(b"\r\n")
+
+    def lines(self) -> list[bytes]:
+        """All whole lines without their ends, used up; what follows the last one stays."""
+        place = self._data.rfind(b"\n", self._start + self._seen, self._end)
+        if place < 0:
+            self._seen = self._end - self._start
+            return []
+        return self.take(place + 1 - self._start).split(b"\n")[:-1]
--- a/pipitshed/wire/http.py
+++ b/pipitshed/wire/http.py
@@ -50,8 +50,12 @@
         self._loose += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, TooLongError) as error:
-            raise BadAnswerError(str(error)) from None
+        except httptools.HttpParserError as error:
+            # The parser names the callback alone; what went wrong in it is the error's context.
+            inner = error.__context__ if isinstance(error, httptools.HttpParserCallbackError) else None
+            if isinstance(inner, BadAnswerError | TooLongError):
+                raise BadAnswerError(str(inner)) from None
+            raise BadAnswerError(f"{error}: {inner!r}" if inner is not None else str(error)) from None
         # Guards against a peer that sends a head, trailers or framing without end: the parser keeps it all.
         if self._loose > LOOSE_LIMIT:
             raise BadAnswerError("the head or the framing is too long")
