A change of the list costs the decisions by what changed: pools of blocks

`_list_news` cleared `groups` and `pools`, so that the next job made every list of ready workers and every cumulated weight anew, and `self.planned` asked all workers. A zone lost one planner a turn was 657 such rebuilds.

`decisions/pools.py` holds pools that know no decision: weights by place in blocks of 32 with their cumulated sums, blocks of blocks above; sums are made from the weights as they stand, so nothing drifts. A change marks one place in the pools in use of the worker's zone, its cell and all; the next draw weighs what is marked and sums the blocks that hold it, so a burst in one turn is one change. A pool of which more than a quarter changed is made anew, one unused for as long is dropped. Which weights count, and who is ready and fits, stays in `rules._weights`. An entry that tells nothing new changes nothing; a reload keeps the pools unless the meaning of weights changed. `_write_within` looks at the effect before it walks the attempts.

--- /dev/null
+++ b/benchmarks/capacity/decisions.py
@@ -0,0 +1,127 @@
+"""CPU of the decisions alone when the list changes: one planner, and a zone, by the size of the fleet.
+
+    python -m benchmarks.capacity.decisions [--sizes 200,575,1150,2300,4600,9200]
+"""
+
+from __future__ import annotations
+
+import json
+from time import process_time
+
+import click
+
+from pipitshed.decisions.interface import (
+    Effect, Entry, Finished, JobClass, Limits, ListKind, ListNews, Note, NoteKind, Outcome, Prices, Rules,
+    Send, Settings, State, Submitted, Weights)
+from pipitshed.decisions.rules import Dispatcher
+
+ZONES, CELLS = 7, 70
+CLASSES = 3
+ROUNDS, CHANGES, JOBS = 9, 20, 400  # the least of the rounds is told, as all else is the machine's other work
+
+
+class Scheduler:
+    """A dispatcher with a list, and a clock of its own."""
+
+    def __init__(self, planners: int) -> None:
+        classes = tuple(JobClass(aim=800.0, deadline=5000.0, effect=Effect.SAFE, window=5000.0)
+                        for _ in range(CLASSES))
+        self.dispatcher = Dispatcher(Settings(
+            classes=classes, prices=Prices(cross_zone=0.014), tick=2.0, siblings=300, tells_start=True,
+            limits=Limits(cancel=True, max_attempts=5), rules=Rules(cold=8800.0, cold_from=0.3),
+            weights=Weights.ROUGH, zones=ZONES), 1)
+        self.now, self.jobs, self.names = 1_000_000.0, 0, planners
+        self.entries = [self.entry(number) for number in range(planners)]
+        self.tell(ListKind.CACHED, self.entries)
+
+    @staticmethod
+    def entry(number: int) -> Entry:
+        return Entry(b"p%05d" % number, zone=number % ZONES, cell=number % CELLS, weight=1.0 + number % 3)
+
+    def tell(self, kind: ListKind, entries: list[Entry]) -> None:
+        self.dispatcher.handle(self.now, [ListNews(kind, 1, tuple(entries))])
+
+    def job(self) -> None:
+        """One ordinary job: taken, started, served."""
+        self.jobs += 1
+        self.now += 50.0
+        [send] = [action for action in self.dispatcher.handle(
+            self.now, [Submitted(self.jobs, 5000.0, self.jobs % CLASSES)]) if isinstance(action, Send)]
+        self.dispatcher.handle(self.now, [Note(self.jobs, 0, send.worker, NoteKind.STARTED)])
+        self.dispatcher.handle(self.now, [Finished(self.jobs, 0, send.worker, Outcome.OK, 1.0, True)])
+
+    def replace(self) -> None:
+        """One planner goes and another comes, told in two pieces of news."""
+        place = self.names * 7919 % len(self.entries)
+        old, self.entries[place] = self.entries[place], self.entry(self.names)
+        self.names += 1
+        self.tell(ListKind.DELTA, [gone(old)])
+        self.job()
+        self.tell(ListKind.DELTA, [self.entries[place]])
+        self.job()
+
+
+def gone(entry: Entry) -> Entry:
+    return Entry(entry.worker, entry.zone, entry.cell, entry.kind, entry.weight, state=State.GONE)
+
+
+def least(rounds: list[float]) -> float:
+    return round(min(rounds) * 1e6, 1)
+
+
+def job_cost(planners: int) -> float:
+    """CPU in µs of the decisions for one ordinary job."""
+    scheduler = Scheduler(planners)
+    rounds = []
+    for _ in range(ROUNDS):
+        begun = process_time()
+        for _ in range(JOBS):
+            scheduler.job()
+        rounds.append((process_time() - begun) / JOBS)
+    return least(rounds)
+
+
+def change_cost(planners: int) -> dict[str, float]:
+    """CPU in µs of one change of the list with the job behind it, and of that job without a change."""
+    scheduler = Scheduler(planners)
+    scheduler.replace()
+    rounds = []
+    for _ in range(ROUNDS):
+        begun = process_time()
+        for _ in range(CHANGES // 2):
+            scheduler.replace()
+        rounds.append((process_time() - begun) / CHANGES)
+    return {"planners": planners, "change_and_job_us": least(rounds), "job_us": job_cost(planners)}
+
+
+def zone_cost(planners: int, at_once: bool) -> dict[str, float]:
+    """CPU in µs of a zone that is lost, in one piece of news with a job of each class behind it, or one
+    planner a turn with a job behind each."""
+    rounds, changes = [], 0
+    for _ in range(ROUNDS if at_once else 2):
+        scheduler = Scheduler(planners)
+        for _ in range(CLASSES):
+            scheduler.job()
+        lost = [gone(entry) for entry in scheduler.entries if entry.zone == ZONES - 1]
+        changes = len(lost)
+        begun = process_time()
+        for news in [lost] if at_once else [[entry] for entry in lost]:
+            scheduler.tell(ListKind.DELTA, news)
+            for _ in range(CLASSES if at_once else 1):
+                scheduler.job()
+        rounds.append(process_time() - begun)
+    return {"planners": planners, "changes": changes, "zone_us": least(rounds)}
+
+
+@click.command()
+@click.option("--sizes", default="200,575,1150,2300,4600,9200", show_default=True)
+def main(sizes: str) -> None:
+    """Print the figures, one line for each size."""
+    for planners in (int(size) for size in sizes.split(",")):
+        click.echo(json.dumps(change_cost(planners) | {
+            "zone_at_once_us": zone_cost(planners, True)["zone_us"],
+            "zone_one_by_one_us": zone_cost(planners, False)["zone_us"]}))
+
+
+if __name__ == "__main__":
+    main()
--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -9,15 +9,14 @@
 
 import math
 import random
-from bisect import bisect_right
 from collections import deque
 from collections.abc import Iterable
-from itertools import accumulate
 
 from pipitshed.decisions.interface import (
     Action, Cancel, Effect, Entry, Event, Fail, Finished, FirstByte, Group, JobClass, LinkLost, ListKind,
     ListMoved, ListNews, Note, NoteKind, Outcome, Refuse, Send, SetTimer, Settings, State,
     Submitted, TimerFired, WatchList, Weights, Withdrawn, WorkerId)
+from pipitshed.decisions.pools import Pools
 
 WINDOW = 30  # attempts in the estimate of f; the paper's figure
 WINDOW_AGE = 30_000.0  # ms an attempt counts in f: a sparse dispatcher's window fills, an old wave leaves
@@ -83,6 +82,10 @@
         self.pace, self.pace_at = 0.0, -math.inf  # time a unit of work takes it, and when that was seen
         self.idle, self.idle_at = 0, -math.inf  # own open connections not in use, and since when
 
+    def told(self) -> tuple[object, ...]:
+        """What the list tells that draws go by."""
+        return self.ready, self.weight, self.classes, self.interface, self.planned
+
 
 class Attempt:
     """One send of a job."""
@@ -119,20 +122,6 @@
         return [attempt for attempt in self.attempts if attempt.out]
 
 
-class Pool:
-    """Workers with their cumulated weights: a draw costs O(log n)."""
-
-    __slots__ = ("workers", "sums")
-
-    def __init__(self, workers: list[Worker], weights: list[float]) -> None:
-        self.workers = workers
-        self.sums = list(accumulate(weights))
-
-    def draw(self, rng: random.Random) -> Worker:
-        place = bisect_right(self.sums, rng.random() * self.sums[-1])
-        return self.workers[min(place, len(self.workers) - 1)]
-
-
 class Window:
     """The recent attempts that f is taken from, with what it is taken from counted as they come and go."""
 
@@ -170,9 +159,8 @@
         self.now = 0.0
         self.actions: list[Action] = []
         self.workers: dict[WorkerId, Worker] = {}
-        self.groups: dict[Scope, list[Worker]] = {}
-        self.pools: dict[tuple[Scope, int, frozenset[int] | None], Pool | None] = {}
-        self.planned = False  # draws go by a plan's weights
+        self.pools = Pools(self._weights, 3)
+        self.planned: set[WorkerId] = set()  # ready ones of a plan; where there are any, draws go by it
         self.jobs: dict[int, Job] = {}
         self.waiting: dict[int, Job] = {}  # jobs with no attempt out
         self.timers: dict[int, Job | None] = {}
@@ -193,11 +181,11 @@
     def retune(self, settings: Settings) -> None:
         """Settings anew. Classes are only ever added, so a job under way keeps its own; what is known of
         workers and of f stays."""
+        if settings.weights is not self.settings.weights:
+            self.pools.clear()
         self.settings = settings
         self.means += [0.0] * (len(settings.classes) - len(self.means))
         self.heard = (self.heard + [0.0] * len(settings.tenants))[:len(settings.tenants)]
-        self.groups.clear()
-        self.pools.clear()
         self.least_worth = min(cls.worth for cls in settings.classes) or 1.0
         self.fields = {name: place for place, name in enumerate(settings.report_fields)}
 
@@ -238,10 +226,9 @@
                 listed.add(entry.worker)
             if news.kind is not ListKind.DELTA:
                 for worker in self.workers.values():
-                    worker.ready = worker.ready and worker.id in listed
-            self.planned = any(worker.planned for worker in self.workers.values() if worker.ready)
-            self.groups.clear()
-            self.pools.clear()
+                    if worker.ready and worker.id not in listed:
+                        worker.ready = False
+                        self._changed(worker)
         if self.settings.list_on_request and news.kind in (ListKind.FAILED, ListKind.CACHED):
             self._ask_list_in(self._list_wait(news.kind))
         elif news.kind is not ListKind.FAILED:
@@ -275,42 +262,36 @@
         worker = self.workers.get(entry.worker)
         if worker is None:
             worker = self.workers[entry.worker] = Worker(entry)
-        elif self.settings.weights is Weights.LIVE:
+            self.pools.add(worker, (None, ("zone", worker.zone), ("cell", worker.cell)))
+        before = worker.told()
+        if self.settings.weights is Weights.LIVE:
             worker.weight += LIVE_SMOOTHING * (entry.weight - worker.weight)
         elif entry.weight > 0:
             worker.weight = entry.weight
         worker.ready, worker.classes = entry.state is State.READY, entry.classes
         worker.interface, worker.planned = entry.interface, entry.planned
+        if before != worker.told():
+            self._changed(worker)
         if entry.started_at > worker.started_at:
             # A new start: what was held against the old process is void, and it is cold.
             worker.started_at = entry.started_at
             worker.ejected_until, worker.strikes = 0.0, 0
 
-    def _group(self, scope: Scope) -> list[Worker]:
-        if not self.groups:
-            self.groups[None] = []
-            for worker in self.workers.values():
-                if worker.ready:
-                    self.groups[None].append(worker)
-                    self.groups.setdefault(("zone", worker.zone), []).append(worker)
-                    self.groups.setdefault(("cell", worker.cell), []).append(worker)
-        return self.groups.get(scope, [])
-
-    def _pool(self, scope: Scope, job: Job) -> Pool | None:
-        """The ready workers of the job's class."""
-        key, kind = (scope, job.number, job.fits), job.cls.kind
-        if key not in self.pools:
-            workers = [worker for worker in self._group(scope) if (kind is None or worker.kind == kind)
-                       and (worker.classes is None or job.number in worker.classes)
-                       and (job.fits is None or worker.interface in job.fits)]
-            # By the plan where there is one; who has just come waits for its part of it.
-            weights = [worker.planned[job.number] if worker.planned else 0.0 for worker in workers]
-            if not any(weights):
-                weights = [worker.weight for worker in workers]
-                if self.settings.weights is Weights.NONE or not any(weights):
-                    weights = [1.0] * len(workers)
-            self.pools[key] = Pool(workers, weights) if workers else None
-        return self.pools[key]
+    def _changed(self, worker: Worker) -> None:
+        """Have what the list tells of a worker count in the draws."""
+        (self.planned.add if worker.ready and worker.planned else self.planned.discard)(worker.id)
+        self.pools.change(worker)
+
+    def _weights(self, worker: Worker, key: tuple[int, frozenset[int] | None]) -> tuple[float, ...] | None:
+        """What a worker is drawn by for the jobs of a class; None where it is not ready, or not for them. By
+        the plan where there is one (who has just come waits for its part), then by the list, then evenly."""
+        number, fits = key
+        if not worker.ready or (worker.classes is not None and number not in worker.classes) or (
+                fits is not None and worker.interface not in fits) or (
+                self.settings.classes[number].kind not in (None, worker.kind)):
+            return None
+        listed = 0.0 if self.settings.weights is Weights.NONE else worker.weight
+        return worker.planned[number] if worker.planned else 0.0, listed, 1.0
 
     # ---- draws
 
@@ -318,7 +299,8 @@
         """A worker by capacity; one that this dispatcher has cause to doubt is passed over, boundedly. The
         own zone is drawn from first, longer the dearer a crossing: it keeps what it has room for, whatever
         part of the traffic comes in there."""
-        pool = self._pool(scope, job)
+        key = (job.number, job.fits)
+        pool = self.pools.get(scope, key)
         if pool is None:
             return None
         doubted = strange = None
@@ -327,8 +309,8 @@
         near, dear = None, self.settings.prices.cross_zone
         if scope is None and self.settings.zones > 1 and not self.planned and (  # a plan weighed this
                 (self._f() or 0.0) <= NEAR_LONGER * dear):
-            near = self._pool(("zone", self.settings.zone), job)
-            if near and self.rng.random() * pool.sums[-1] > near.sums[-1] * self.settings.zones:
+            near = self.pools.get(("zone", self.settings.zone), key)
+            if near and self.rng.random() * pool.total > near.total * self.settings.zones:
                 near = None  # a zone with few workers, or few left, keeps no more than its capacity's part
         for place in range(DRAWS):
             worker = (near if near and place < NEAR_DRAWS + NEAR_DEAR * dear else pool).draw(self.rng)
@@ -415,8 +397,10 @@
 
     def _write_within(self, job: Job) -> float:
         """What is left of the window in which a keyed job may be repeated: a connection may come up late."""
+        if job.cls.effect is not Effect.KEYED:
+            return 0.0
         first = next((attempt for attempt in job.attempts if not attempt.unrun), None)
-        if job.cls.effect is not Effect.KEYED or first is None or first.sent_at == self.now:
+        if first is None or first.sent_at == self.now:
             return 0.0
         return max(self.settings.tick, first.sent_at + job.cls.window - 2 * self.settings.tick - self.now)
 
