--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -46,6 +46,7 @@
     figure: str
     form: str
     unit: str = ""
+    relative: bool = True  # errors count in parts of what was measured
 
     def points(self, runs: Runs) -> list[tuple[int, float]]:
         return runs[self.slope].valid(self.case, self.figure) if self.slope in runs else []
@@ -53,7 +54,7 @@
     def fit(self, runs: Runs) -> Fit | None:
         """None where fewer sizes ran than a fit needs."""
         try:
-            return fit(self.points(runs), self.form, relative=True)
+            return fit(self.points(runs), self.form, self.relative)
         except FitError:
             return None
 
--- a/benchmarks/capacity/machine.py
+++ b/benchmarks/capacity/machine.py
@@ -5,11 +5,14 @@
 import asyncio
 import contextlib
 import os
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from pathlib import Path
 from time import monotonic
 
+from benchmarks.capacity.records import Row
+
 EVERY = 0.02  # s between looks
+TRIES = 3  # of a row
 LATE = 0.05  # s of lateness beyond which a row says nothing of the program
 
 
@@ -42,6 +45,22 @@
         task.cancel()
 
 
+async def in_time(measures: Iterable[Callable[[], Awaitable[Row]]], limit_s: float) -> list[Row]:
+    """The rows, each measured until it counts, a few times at most: then the last one stands. What there is
+    no time for is left out."""
+    rows: list[Row] = []
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            for measure in measures:
+                for tries in range(1, TRIES + 1):
+                    row = await measure()
+                    row.figures["tries"] = float(tries)
+                    if row.valid:
+                        break
+                rows.append(row)
+    return rows
+
+
 def cpu_s(pid: int) -> float:
     """Seconds of CPU that a process of one thread has used; counted in ns where the kernel tells them."""
     with contextlib.suppress(OSError, ValueError, IndexError):
