What one turn brings of the list is one change; a long list is taken in slices

A lost zone is 657 changes. Each was a change of its own to the decisions, which make all their pools anew, also where all came in one read; the route table made the set of interfaces anew from the whole list each time, and /-/metrics a set of all planners at each call. A whole list was told to the decisions entry by entry, known or not, and took the loop for 27 to 62 ms in one turn at 4,600 planners (88 at 9,200).

- `Core._list_told` gathers the changes of a turn; `together` makes them one ListNews, the last state of each planner in the order in which that came, at the place of the first.
A cached list, a failed call and a move keep theirs.
- The table counts ready planners by interface as they change.
A line that is as it is listed is no news, and keeps its Endpoint; where weights are live each telling counts, and all are told.
- A piece of over 512 planners is taken up in slices of a turn each and put into the table whole, as jobs would all be drawn from a part of it.
Where interfaces are found out meanwhile it is not sliced: lines would grow old.
- DNS-SD makes lines for what has changed, not for all.

tests/test_list_changes.py; each fails without its lines: no gathering, no close at a failed call, all entries told, live weights not told, new Endpoints, no slices, waiting pieces kept after a bad row, the count not taken back.

--- a/benchmarks/capacity/lists.py
+++ b/benchmarks/capacity/lists.py
@@ -51,6 +51,7 @@
         self.call.data_received(HEAD)
         self.turns: list[float] = []  # s of each turn that did any of the list's work
         self.core._hand_over = self._timed(self.core._hand_over)  # type: ignore[method-assign]
+        self.discovery._work = self._timed(self.discovery._work)  # type: ignore[method-assign]
 
     def _timed(self, work: Callable[..., None]) -> Callable[..., None]:
         def timed(*given: Any) -> None:
@@ -59,28 +60,31 @@
             self.turns.append(time.perf_counter() - begun)
         return timed
 
-    async def read(self, text: bytes, size: int = READ) -> None:
-        """The text in reads of so many bytes, one a turn."""
+    async def read(self, text: bytes, version: int, size: int = READ) -> None:
+        """The text in reads of so many bytes, one a turn, until the list known is of this version."""
         feed = self._timed(self.call.data_received)
         for place in range(0, len(text), size):
             part = text[place:place + size]
             feed(b"%x\r\n%s\r\n" % (len(part), part))
             await asyncio.sleep(0)
-        await asyncio.sleep(0)
+        while self.discovery.version < version:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0)  # and the decisions
 
 
 def list_read(planners: int, indented: bool) -> dict[str, Any]:
     """A whole list that is read, and comes again as it was. Bytes; CPU (ms) and the longest turn of the loop
     (ms) of the first and the second; peak memory (bytes) beyond what stood before, over both."""
-    text = news(41, True, [planner_row(number) for number in range(planners)], indented)
+    rows = [planner_row(number) for number in range(planners)]
+    texts = [news(version, True, rows, indented) for version in (41, 42)]
 
     async def play() -> dict[str, Any]:
         side = Side(asyncio.get_running_loop())
-        told: dict[str, Any] = {"planners": planners, "indented": indented, "bytes": len(text)}
-        for name in ("first", "again"):
+        told: dict[str, Any] = {"planners": planners, "indented": indented, "bytes": len(texts[0])}
+        for version, (name, text) in enumerate(zip(("first", "again"), texts, strict=True), 41):
             side.turns.clear()
             begun = time.process_time()
-            await side.read(text)
+            await side.read(text, version)
             told[f"{name}_cpu_ms"] = (time.process_time() - begun) * 1000
             told[f"{name}_turn_ms"] = max(side.turns) * 1000
         assert side.core.routes.ready() == planners
@@ -89,8 +93,8 @@
     async def weighed() -> int:
         side = Side(asyncio.get_running_loop())
         tracemalloc.start()
-        for _ in range(2):
-            await side.read(text)
+        for version, text in enumerate(texts, 41):
+            await side.read(text, version)
         peak = tracemalloc.get_traced_memory()[1]
         tracemalloc.stop()
         return peak
--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -11,11 +11,12 @@
 from time import monotonic
 
 from pipitshed.decisions.interface import (
-    Action, Cancel, CloseIdle, Event, Fail, FetchList, Finished, LinkLost, Log, Note, NoteKind,
-    Outcome, Probe, Probed, Refuse, Send, SetTimer, Settings, Submitted, TimerFired, WatchList, Withdrawn)
+    Action, Cancel, CloseIdle, Event, Fail, FetchList, Finished, LinkLost, ListKind, ListMoved, ListNews,
+    Log, Note, NoteKind, Outcome, Probe, Probed, Refuse, Send, SetTimer, Settings, Submitted, TimerFired,
+    WatchList, Weights, Withdrawn)
 from pipitshed.decisions.rules import PACE_AGE, SLOW, Dispatcher
 from pipitshed.exchange.parties import Client, Endpoint, Exchange, Attempt, Refusal, Request, Translator
-from pipitshed.exchange.route_table import RouteTable
+from pipitshed.exchange.route_table import RouteTable, together
 from pipitshed.exchange.trace import Trace
 
 MARGIN_MS = 30.0  # the final answer is out so long before the client gives up
@@ -29,7 +30,8 @@
 
     def __init__(self, settings: Settings, seed: int, loop: asyncio.AbstractEventLoop) -> None:
         self.settings = settings
-        self.routes = RouteTable(self.post)
+        self.routes = RouteTable(self._list_told)
+        self.routes.retold = settings.weights is Weights.LIVE
         self.translator: Translator | None = None  # where messages are translated
         self._untranslated: deque[Exchange] = deque()
         self.tally: Counter[str] = Counter()
@@ -48,11 +50,14 @@
         self._numbers = 0
         self._events: list[Event] = []
         self._due = False
+        self._changes: list[ListNews] = []  # of the list, in this turn: one change to the decisions
+        self._changes_at = 0  # the place of the first of them among the events
         self.trace: Trace | None = None  # off but where LB_TRACE asks for it
 
     def retune(self, settings: Settings) -> None:
         """Settings read anew, with every class that was ever in force, so that exchanges keep theirs."""
         self.settings = settings
+        self.routes.retold = settings.weights is Weights.LIVE
         self._dispatcher.retune(settings)
 
     # ---- the loop
@@ -64,8 +69,28 @@
             self._due = True
             self._loop.call_soon(self._hand_over)
 
+    def _list_told(self, news: ListNews | ListMoved) -> None:
+        """News of the list. A lost zone may come as hundreds of changes in one turn: the decisions get them
+        as one, where the first of them stood."""
+        if isinstance(news, ListMoved) or news.kind is not ListKind.DELTA:
+            self._close_changes()
+        else:
+            self._changes.append(news)
+            if len(self._changes) > 1:
+                return
+            self._changes_at = len(self._events)
+        self.post(news)
+
+    def _close_changes(self) -> None:
+        """What comes from now on is another change."""
+        if len(self._changes) > 1:
+            self._events[self._changes_at] = together(self._changes)
+        self._changes = []
+
     def _hand_over(self) -> None:
         self._due = False
+        if self._changes:
+            self._close_changes()
         events, self._events = self._events, []
         now = (self._epoch + monotonic()) * 1000
         # Guards what stands beside it in this turn against an exception: timers that were to be set would set
--- a/pipitshed/exchange/route_table.py
+++ b/pipitshed/exchange/route_table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 
 from pipitshed.decisions.interface import Entry, ListKind, ListMoved, ListNews, State, WorkerId
@@ -11,6 +11,17 @@
 Line = tuple[Entry, Endpoint]
 
 
+def together(news: Sequence[ListNews]) -> ListNews:
+    """Changes that came one after the other as one: the last that was told of each planner, in the order in
+    which that came."""
+    entries: dict[WorkerId, Entry] = {}
+    for one in news:
+        for entry in one.entries:
+            entries.pop(entry.worker, None)
+            entries[entry.worker] = entry
+    return ListNews(ListKind.DELTA, max(one.version for one in news), tuple(entries.values()))
+
+
 class RouteTable:
     """All endpoints ever listed, and what each source lists now."""
 
@@ -20,7 +31,9 @@
         self._listed: dict[str, dict[WorkerId, Entry]] = {}
         self._held: dict[WorkerId, float] = {}  # said itself that it drains: the start for which that holds
         self._planned: dict[WorkerId, tuple[float, ...]] | None = None  # a plan's weights by class
-        self._interfaces: frozenset[int] | None = None
+        self._ready: dict[int, int] = {}  # how many are listed as ready, by their interface
+        self._interfaces = frozenset[int]()  # those with any, as last told
+        self.retold = False  # an entry that is told anew as it was says something: weights are live
         self._leaving: set[WorkerId] = set()  # told of as draining or gone, and not of anything since
         self.on_interfaces: Callable[[], None] = lambda: None  # another set of interfaces is listed
 
@@ -34,45 +47,63 @@
 
     def ready(self) -> int:
         """How many are listed as ready."""
-        return sum(entry.state is State.READY for listed in self._listed.values()
-                   for entry in listed.values())
+        return sum(self._ready.values())
+
+    def size(self) -> int:
+        """How many planners are listed, by any source."""
+        first, *others = self._listed.values() or ({},)
+        return len(first.keys() | set().union(*others)) if others else len(first)
 
     def interfaces(self) -> frozenset[int]:
         """The interfaces of all that is listed as ready; 0 is one that is still being found out."""
-        if self._interfaces is None:
-            self._interfaces = frozenset(entry.interface for listed in self._listed.values()
-                                         for entry in listed.values() if entry.state is State.READY)
         return self._interfaces
 
     def fill(self, source: str, kind: ListKind, version: int, lines: Iterable[Line]) -> None:
         """News from one source. A whole list is made a change: it speaks for its own source alone, and
-        what that source no longer lists is gone."""
+        what that source no longer lists is gone. What is told as it is known is no news to the decisions."""
         listed = self._listed.setdefault(source, {})
         entries: dict[WorkerId, Entry] = {}
+        told: set[WorkerId] | None = set() if kind is ListKind.FULL else None
         for entry, target in lines:
+            worker = entry.worker
+            if told is not None:
+                told.add(worker)
             entry = self._as_held(entry)
             if self._planned is not None:
-                entry = replace(entry, planned=self._planned.get(entry.worker))
-            entries[entry.worker] = entry
-            self._targets[entry.worker] = target
-        if kind is ListKind.FULL:
-            for worker, old in listed.items():
-                if worker not in entries:
-                    entries[worker] = replace(old, state=State.GONE)
-        for worker, entry in entries.items():
-            if entry.state is State.GONE:
-                listed.pop(worker, None)
+                entry = replace(entry, planned=self._planned.get(worker))
+            if self._targets.get(worker) != target:
+                self._targets[worker] = target
+            if entry != listed.get(worker) or kind is ListKind.CACHED or self.retold:
+                entries[worker] = entry
             else:
-                listed[worker] = entry
-        told = ListKind.DELTA if kind is ListKind.FULL else kind
-        self._tell(ListNews(told, version, tuple(entries.values())))
+                entries.pop(worker, None)  # what an earlier line told is void
+        if told is not None:
+            for worker, old in listed.items():
+                if worker not in told:
+                    entries[worker] = self._as_held(replace(old, state=State.GONE))
+        for entry in entries.values():
+            self._list(listed, entry)
+        kind = ListKind.DELTA if kind is ListKind.FULL else kind
+        self._tell(ListNews(kind, version, tuple(entries.values())))
+
+    def _list(self, listed: dict[WorkerId, Entry], entry: Entry) -> None:
+        """Put one entry into a source's list, or take it out."""
+        old = listed.pop(entry.worker, None) if entry.state is State.GONE else listed.get(entry.worker)
+        if old is not None and old.state is State.READY:
+            self._ready[old.interface] -= 1
+            if not self._ready[old.interface]:
+                del self._ready[old.interface]
+        if entry.state is not State.GONE:
+            listed[entry.worker] = entry
+            if entry.state is State.READY:
+                self._ready[entry.interface] = self._ready.get(entry.interface, 0) + 1
 
     def _tell(self, news: ListNews) -> None:
-        before, self._interfaces = self._interfaces, None
         for entry in news.entries:
             (self._leaving.discard if entry.state is State.READY else self._leaving.add)(entry.worker)
         self._post(news)
-        if before is not None and before != self.interfaces():
+        if self._ready.keys() != self._interfaces:
+            self._interfaces = frozenset(self._ready)
             self.on_interfaces()
 
     def _as_held(self, entry: Entry) -> Entry:
@@ -96,8 +127,8 @@
             for worker, entry in listed.items():
                 planned = weights.get(worker) if weights is not None else None
                 if planned != entry.planned:
-                    listed[worker] = replace(entry, planned=planned)
-                    changed.append(listed[worker])
+                    changed.append(replace(entry, planned=planned))
+                    listed[worker] = changed[-1]
         if changed:
             self._tell(ListNews(ListKind.DELTA, 0, tuple(changed)))
 
@@ -110,8 +141,8 @@
         self._held[worker] = max(entry.started_at for _, entry in found)
         changed = []
         for listed, entry in found:
-            listed[worker] = self._as_held(entry)
-            changed.append(listed[worker])
+            changed.append(self._as_held(entry))
+            self._list(listed, changed[-1])
         self._tell(ListNews(ListKind.DELTA, 0, tuple(changed)))
 
     def holds(self, worker: WorkerId) -> bool:
--- a/pipitshed/routes/discovery.py
+++ b/pipitshed/routes/discovery.py
@@ -6,6 +6,8 @@
 import logging
 import math
 import re
+import sys
+from collections import deque
 from typing import Protocol, cast
 
 import msgspec
@@ -28,6 +30,7 @@
 REST_MB = 40.0  # MB that the process has without a list, and what its clients' requests take beside it
 LIST_COST = 16.0  # bytes of memory that a byte of a list takes at its peak: 14.7 measured, as it comes again
 LEAST_BOUND = 256 * 1024  # bytes of a piece of news that are taken whatever the memory limit
+SLICE = 512  # planners of a piece of news that one turn of the loop takes up: 3 ms
 READ = 256 * 1024  # bytes that one read of a connection brings at most
 BEYOND = 10.0  # s within which a piece of news beyond the bound ends; any other call would bring it again
 _TEXTS = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')  # JSON's strings; none has a line's end in it
@@ -37,7 +40,7 @@
 _STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
 
 
-class Instance(msgspec.Struct, rename="camel"):
+class Instance(msgspec.Struct, rename="camel", gc=False):
     """One line of the list."""
 
     instance_id: str
@@ -133,6 +136,8 @@
         self._look: asyncio.TimerHandle | None = None
         self._watch: _Call | None = None
         self._wrong = ""  # what was last said to be wrong with the news
+        self._waiting: deque[_News] = deque()  # pieces that are not in the table yet
+        self._lines: list[Line] = []  # of the first of them
         self._tasks: set[asyncio.Task[None]] = set()
 
     def hurry(self, grace: float) -> None:
@@ -142,7 +147,9 @@
 
     def known(self, members: Members) -> None:
         """The list as this scheduler last had it."""
-        self.fill(members, ListKind.CACHED)
+        self.version = members.generation
+        lines = map(self.listing.line, members.instances)
+        self.table.fill(SOURCE, ListKind.CACHED, members.generation, lines)
 
     def follow(self, address: tuple[str, int]) -> None:
         """Discovery is at another address from now on. The watch at the old one tells what it still can,
@@ -203,13 +210,53 @@
         """News came as it should."""
         self._wrong = ""
 
-    def fill(self, members: Members, kind: ListKind, version: int | None = None) -> None:
-        """Put one piece of news into the route table. `version` is what the list known is of then, where that
-        is not what the piece says: some that came before it was not taken."""
-        lines = [self.listing.line(item) for item in members.instances]
-        self.version = members.generation if version is None else version
-        self.heard = self.heard or kind is not ListKind.CACHED
-        self.table.fill(SOURCE, kind, members.generation, lines)
+    def take(self, call: _Call, members: Members, current: bool) -> None:
+        """Put one piece of news of a call into the route table; `current` says whether all before it was
+        taken, so that the list known is of its version. Guards the loop's timers against a long piece: its
+        planners are taken up in slices, and it is one change all the same."""
+        self._waiting.append((call, members, current))
+        if len(self._waiting) == 1:
+            if len(members.instances) > self._slice:
+                self.loop.call_soon(self._work)
+            else:
+                self._work()
+
+    @property
+    def _slice(self) -> int:
+        # Where interfaces are found out meanwhile, a line that was made some turns ago may be out of date.
+        return SLICE if self.listing.carriers is None else sys.maxsize
+
+    def _work(self) -> None:
+        """Take up what waits, as much as one turn may."""
+        while self._waiting:
+            call, members, current = self._waiting[0]
+            place = len(self._lines)
+            try:
+                self._lines += map(self.listing.line, members.instances[place:place + self._slice])
+                if len(self._lines) < len(members.instances):
+                    self.loop.call_soon(self._work)
+                    return
+                kind = ListKind.FULL if members.reset else ListKind.DELTA
+                self.table.fill(SOURCE, kind, members.generation, self._lines)
+            except Exception as error:
+                # Guards against what comes behind it, which would be taken for all that there is.
+                self._waiting.clear()
+                self._lines = []
+                if isinstance(error, ValueError):
+                    self.wrong(f"no list: {error}")
+                else:
+                    log.exception("news from discovery")
+                call.fail()
+                return
+            self._waiting.popleft()
+            self._lines = []
+            self.heard = True
+            if current:
+                self.version = members.generation
+                self.right()
+
+
+_News = tuple["_Call", Members, bool]
 
 
 class _Call(asyncio.Protocol):
@@ -382,15 +429,12 @@
         """Put a piece of news into the table; False where it goes on. BadAnswerError where it is none."""
         try:
             members = _decode(text)
-            self._heard = True
-            self._missed = self._missed and not members.reset
-            # What was passed over is still owed: the next call asks from the version before it.
-            self._discovery.fill(members, ListKind.FULL if members.reset else ListKind.DELTA,
-                                 self._discovery.version if self._missed else None)
-            if not self._missed:
-                self._discovery.right()
-        except (msgspec.DecodeError, ValueError) as error:
+        except msgspec.DecodeError as error:
             if "truncated" in str(error):
                 return False
             raise BadAnswerError(f"no list: {error}") from None
+        self._heard = True
+        # What was passed over is still owed: the next call asks from the version before it.
+        self._missed = self._missed and not members.reset
+        self._discovery.take(self, members, not self._missed)
         return True
--- a/pipitshed/routes/dns_sd.py
+++ b/pipitshed/routes/dns_sd.py
@@ -14,6 +14,7 @@
 import dns.rdatatype
 import dns.rdtypes.ANY.TXT
 import dns.rrset
+import msgspec
 
 from pipitshed.decisions.interface import ListKind
 from pipitshed.exchange.route_table import Line, RouteTable
@@ -142,12 +143,15 @@
 
     def _tell(self) -> None:
         """Fill the route table where anything has changed."""
-        told = {name: held[0] for name, held in self._instances.items()}
-        if told == self._told:
+        before, told = self._told, {name: held[0] for name, held in self._instances.items()}
+        if told == before:
             return
         self._told = told
+        changed = [instance for name, instance in told.items() if instance != before.get(name)]
+        changed += [msgspec.structs.replace(instance, lifecycle="gone") for name, instance in before.items()
+                    if name not in told]
         lines: list[Line] = []
-        for instance in told.values():
+        for instance in changed:
             with contextlib.suppress(ValueError):
                 lines.append(self._listing.line(instance))
-        self._table.fill(SOURCE, ListKind.FULL, 0, lines)
+        self._table.fill(SOURCE, ListKind.DELTA, 0, lines)
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -133,9 +133,7 @@
     def figures(self) -> bytes:
         """The text of the operators' `/-/metrics`."""
         core = self.core
-        listed = core.routes.entries()
-        workers = {entry.worker for entry in listed}
-        gauges = Gauges(core.busy, len(workers), core.avoided(), self.conf_loaded, self.conf_invalid)
+        gauges = Gauges(core.busy, core.routes.size(), core.avoided(), self.conf_loaded, self.conf_invalid)
         told = render(by_class(self.book.names, core.ended, core.sends), gauges)
         return told + self.fleet.lines() if self.fleet is not None else told
 
--- /dev/null
+++ b/tests/test_list_changes.py
@@ -0,0 +1,178 @@
+"""Changes of the list: those of one turn are one to the decisions, and work goes by what has changed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+from unittest.mock import Mock
+
+import pytest
+from helpers import settings, worker_id
+from test_list_sizes import HEAD, chunk, news_of, rows
+
+from pipitshed.decisions.interface import Entry, ListKind, ListNews, State, Weights
+from pipitshed.exchange.core import Core
+from pipitshed.exchange.parties import Endpoint
+from pipitshed.exchange.route_table import RouteTable
+from pipitshed.routes import discovery as module
+
+
+class Rig:
+    """A watch into a core whose decisions are heard, without sockets."""
+
+    def __init__(self, **changes: Any) -> None:
+        loop = asyncio.get_running_loop()
+        self.core = Core(settings(**changes), 1, loop)
+        handle = self.core._dispatcher.handle
+        self.told: list[list[ListNews]] = []  # by turn
+
+        def heard(now: float, events: Any) -> Any:
+            self.told.append([event for event in events if isinstance(event, ListNews)])
+            return handle(now, events)
+
+        self.core._dispatcher.handle = heard  # type: ignore[method-assign]
+        listing = module.Listing("test", module.Names(["lima-norte"]), module.Names(["standard"]), Mock())
+        self.discovery = module.Discovery(("127.0.0.1", 1), listing, self.core.routes, loop)
+        self.discovery.ask = Mock()  # type: ignore[method-assign]
+        self.core.ask_list = self.discovery.ask
+        self.opened()
+
+    def opened(self) -> None:
+        self.call = module._Call(self.discovery, True)
+        self.call.connection_made(Mock())
+        self.call.data_received(HEAD)
+
+    def read(self, *pieces: bytes) -> None:
+        """All of it in one read."""
+        self.call.data_received(b"".join(chunk(piece) for piece in pieces))
+
+    async def turns(self, until: Callable[[], bool]) -> int:
+        """How many turns of the loop it took."""
+        count = 0
+        while not until():
+            await asyncio.sleep(0)
+            count += 1
+            assert count < 1000
+        return count
+
+
+def rigged(body: Callable[[Rig], Any]) -> Callable[[], None]:
+    async def run() -> None:
+        await body(Rig())
+
+    def test() -> None:
+        asyncio.run(run())
+
+    test.__name__, test.__doc__ = body.__name__, body.__doc__
+    return test
+
+
+@rigged
+async def test_a_lost_zone_in_one_read_is_one_change_to_the_decisions(rig: Rig) -> None:
+    """657 lines of one planner each: they used to make all pools anew 657 times."""
+    rig.read(news_of(1, True, rows(1400, "ready")))
+    await rig.turns(lambda: len(rig.told) == 1)
+    lost = rows(657)
+    rig.read(*[news_of(2 + place, False, [row]) for place, row in enumerate(lost)],
+             news_of(700, False, [lost[5] | {"lifecycle": "ready", "startedAtMs": 9}]))
+    await rig.turns(lambda: len(rig.told) == 2)
+    [change] = rig.told[1]
+    assert change.kind is ListKind.DELTA and change.version == 700 == rig.discovery.version
+    names = [str(row["instanceId"]).encode() for row in lost]
+    assert [entry.worker for entry in change.entries] == [*names[:5], *names[6:], names[5]]
+    assert {entry.state for entry in change.entries[:-1]} == {State.DRAINING}
+    assert (change.entries[-1].state, change.entries[-1].started_at) == (State.READY, 9.0)
+    assert rig.core.routes.ready() == 1400 - 656 and rig.core.routes.size() == 1400
+
+
+@rigged
+async def test_a_failed_call_between_two_changes_of_a_turn_keeps_its_place(rig: Rig) -> None:
+    """The decisions count failures since the last news."""
+    one, two = rows(2, "ready")
+    rig.read(news_of(1, False, [one]), news_of(2, False, [two]))
+    rig.call.fail()
+    rig.opened()
+    rig.read(news_of(3, False, [one | {"weight": 2.0}]), news_of(4, False, [two | {"weight": 2.0}]))
+    await rig.turns(lambda: len(rig.told) == 1)
+    assert [(news.kind, news.version, len(news.entries)) for news in rig.told[0]] == [
+        (ListKind.DELTA, 2, 2), (ListKind.FAILED, 0, 0), (ListKind.DELTA, 4, 2)]
+
+
+@pytest.mark.parametrize("weights, told", [(Weights.ROUGH, 2), (Weights.LIVE, 1500)])
+def test_a_whole_list_tells_the_decisions_what_has_changed(weights: Weights, told: int) -> None:
+    """One changed and one gone, of 1,500. Live weights are smoothed with each telling, so all are told."""
+    async def run() -> None:
+        rig = Rig(weights=weights)
+        rig.read(news_of(1, True, rows(1500, "ready")))
+        await rig.turns(lambda: len(rig.told) == 1)
+        before = dict(rig.core.routes._targets)
+        again = rows(1499, "ready")
+        again[7]["lifecycle"] = "draining"
+        rig.read(news_of(2, True, again))
+        await rig.turns(lambda: len(rig.told) == 2)
+        [change] = rig.told[1]
+        assert len(change.entries) == told
+        assert {entry.worker: entry.state for entry in change.entries if entry.state is not State.READY} == {
+            b"s-00000007": State.DRAINING, b"s-000005db": State.GONE}
+        assert all(before[worker] is target for worker, target in rig.core.routes._targets.items())
+    asyncio.run(run())
+
+
+@rigged
+async def test_a_long_list_takes_several_turns_and_comes_into_the_table_whole(rig: Rig) -> None:
+    """It stalled the loop, with all its timers, for 27 ms at 4,600; a part of it would draw all jobs."""
+    rig.read(news_of(1, True, rows(4600, "ready")), news_of(2, False, [rows(1)[0]]))
+    seen = set()
+
+    def whole() -> bool:
+        seen.add(rig.core.routes.size())
+        return bool(rig.told)
+
+    assert await rig.turns(whole) >= 4600 // module.SLICE
+    assert seen == {0, 4600} and rig.discovery.version == 2
+    assert rig.core.routes.ready() == 4599
+
+
+@rigged
+async def test_a_row_that_can_not_be_read_late_in_a_long_list_fails_the_call(rig: Rig) -> None:
+    """The list known stands, what came behind it is not taken, and the next call's news is."""
+    bad = rows(1500, "ready")
+    bad[-1]["hostPort"] = "nowhere"
+    rig.read(news_of(8, True, bad), news_of(9, False, rows(1, "ready")))
+    await rig.turns(lambda: len(rig.told) == 1)
+    assert [news.kind for news in rig.told[0]] == [ListKind.FAILED]
+    assert rig.discovery.version == 0 and rig.core.routes.size() == 0
+    rig.opened()
+    rig.read(news_of(9, True, rows(3, "ready")))
+    assert rig.core.routes.ready() == 3 and rig.discovery.version == 9
+
+
+def test_what_is_counted_as_it_changes_agrees_with_a_count_of_the_whole_list() -> None:
+    """Ready planners, their number and their interfaces, through changes of two sources, drains and plans."""
+    rng = random.Random(5)
+    sets: list[frozenset[int]] = []
+    table = RouteTable(lambda news: None)
+    table.on_interfaces = lambda: sets.append(table.interfaces())
+    for _ in range(3000):
+        source, worker = rng.choice("ab"), worker_id(rng.randrange(12))
+        entry = Entry(worker, state=rng.choice(list(State)), started_at=float(rng.randrange(3)),
+                      interface=rng.randrange(3))
+        what = rng.random()
+        if what < 0.8:
+            line = (entry, Endpoint(worker, Mock(), None))
+            more = (replace(entry, state=State.READY), line[1])
+            table.fill(source, rng.choice((ListKind.DELTA, ListKind.DELTA, ListKind.FULL)), 0, [line, more][
+                :rng.randrange(1, 3)])
+        elif what < 0.9:
+            table.hold(worker)
+        else:
+            table.plan({worker: (rng.random(),)})
+        listed = table.entries()
+        ready = [entry for entry in listed if entry.state is State.READY]
+        assert table.ready() == len(ready)
+        assert table.size() == len({entry.worker for entry in listed})
+        assert table.interfaces() == {entry.interface for entry in ready}
+    assert len(sets) > 100 and all(a != b for a, b in zip(sets, sets[1:], strict=False))
--- a/tests/test_list_sizes.py
+++ b/tests/test_list_sizes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from typing import Any
 from unittest.mock import Mock
 
 import pytest
@@ -35,10 +34,8 @@
 
     def tell(self, writer: Writer, reset: bool, instances: list[dict[str, object]]) -> None:
         self.generation += 1
-        news = {"generation": self.generation, "reset": reset,
-                "instances": instances + self.others if reset else instances}
-        text = json.dumps(news, indent=self.indent).encode() + b"\n"
-        writer.write(chunk(text))
+        told = instances + self.others if reset else instances
+        writer.write(chunk(news_of(self.generation, reset, told, self.indent)))
 
 
 @story
@@ -80,8 +77,7 @@
                 assert (await client.answer())[0] == 200
             assert catalog.asked == [1, 1]
         told = [line for line in running.log if "WARNING" in line]
-        size = len(json.dumps({"generation": 2, "reset": True, "instances": [old.line(), *rows(2500)]},
-                              indent=indent)) + 1
+        size = len(news_of(2, True, [old.line(), *rows(2500)], indent))
         assert len(told) == 1 and f"a list of {size} bytes" in told[0] and str(256 * 1024) in told[0], told
     run()
 
@@ -102,13 +98,17 @@
     return call, table  # type: ignore[return-value]
 
 
+def news_of(version: int, reset: bool, instances: list[dict[str, object]],
+            indent: int | None = None) -> bytes:
+    """A piece of news as a watch brings it."""
+    text = json.dumps({"generation": version, "reset": reset, "instances": instances}, indent=indent)
+    return text.encode() + b"\n"
+
+
 def _text(form: str, count: int) -> bytes:
-    news: dict[str, Any] = {"generation": 7, "reset": True, "instances": rows(count, "ready")}
-    if form == "compact":
-        return json.dumps(news).encode() + b"\n"
-    if form == "indented":
-        return json.dumps(news, indent=2).encode() + b"\n"
-    inner = "\n,".join(json.dumps(row) for row in news["instances"])  # each row's line ends as the last would
+    if form != "row by row":
+        return news_of(7, True, rows(count, "ready"), 2 if form == "indented" else None)
+    inner = "\n,".join(map(json.dumps, rows(count, "ready")))  # each row's line ends as the last would
     return (f'{{"generation": 7, "reset": true, "instances": [\n{inner}\n]\n}}\n').encode()
 
 
@@ -141,8 +141,7 @@
     call, _ = _watch(told)
     odd = rows(3, "ready")
     odd[0]["instanceId"], odd[1]["zone"], odd[2]["instanceId"] = 'a}"}\\', "}}}", '{"'
-    text = json.dumps({"generation": 7, "reset": True, "instances": odd}, indent=2).encode() + b"\n"
-    call.data_received(chunk(text))
+    call.data_received(chunk(news_of(7, True, odd, 2)))
     assert told == [3]
 
 
