Planners that left the list are forgotten after a minute, but for attempts out

- The table keeps what nobody lists for 60 s, in the order in which it left, and then forgets it with the next news; a planner with an attempt out, or one that waits for its connection, is kept and looked at again (asked of the core, so no time has to be guessed: a connection that comes up late still finds that its planner has gone).
A name that is listed again, by any source, is not forgotten.
- `on_forgotten` tells the interfaces; the pool drops an address with its last connection.

Ruled out: a gRPC connection that comes up for nobody is closed already (`_rest` after SETTINGS); the test for it fails without that line, and stays.

--- a/benchmarks/capacity/lists.py
+++ b/benchmarks/capacity/lists.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import time
 import tracemalloc
@@ -19,6 +20,7 @@
 from pipitshed.exchange.core import Core
 from pipitshed.routes.discovery import SOURCE, Discovery, Listing, Names, _Call
 
+DAY = 86_400.0  # s
 READ = 64 * 1024  # bytes that a read of the list's connection brings
 ZONES = [f"zone-{number}" for number in range(7)]
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -100,3 +102,32 @@
         return peak
 
     return uvloop.run(play()) | {"peak_bytes": uvloop.run(weighed())}
+
+
+def replaced(planners: int, replaced: int) -> dict[str, Any]:
+    """A day on which so many planners drain, leave and are replaced, evenly over it. Planners that the
+    decisions, the route table and the pool hold after it, beside those that are listed; bytes held beyond
+    what stood before the day."""
+
+    async def play() -> dict[str, Any]:
+        side = Side(asyncio.get_running_loop())
+        table, now = side.core.routes, 0.0
+        table._clock = lambda: now
+        await side.read(news(1, True, [planner_row(number) for number in range(planners)]), 1)
+        tracemalloc.start()
+        for number in range(replaced):
+            now += DAY / replaced
+            version = 2 * number + 2
+            await side.read(news(version, False, [planner_row(number, 0, "draining")]), version)
+            version += 1
+            rows = [planner_row(number, 0, "gone"), planner_row(planners + number, version)]
+            await side.read(news(version, False, rows), version)
+        gc.collect()
+        held = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        return {"planners": planners, "replaced": replaced, "listed": table.size(),
+                "decisions": len(side.core._dispatcher.workers) - planners,
+                "route_table": max(len(table._targets), len(table._leaving) + planners) - planners,
+                "pool": len(side.carrier._idle), "bytes": held}
+
+    return uvloop.run(play())
--- a/pipitshed/egress/http.py
+++ b/pipitshed/egress/http.py
@@ -420,3 +420,5 @@
         idle = self._idle.get(connection.address)
         if idle and connection in idle:
             idle.remove(connection)
+        if not idle:  # the address may be a replaced planner's, never to come again
+            self._idle.pop(connection.address, None)
--- a/pipitshed/exchange/core.py
+++ b/pipitshed/exchange/core.py
@@ -13,7 +13,7 @@
 from pipitshed.decisions.interface import (
     Action, Cancel, CloseIdle, Event, Fail, FetchList, Finished, LinkLost, ListKind, ListMoved, ListNews,
     Log, Note, NoteKind, Outcome, Probe, Probed, Refuse, Send, SetTimer, Settings, Submitted, TimerFired,
-    WatchList, Weights, Withdrawn)
+    WatchList, Weights, Withdrawn, WorkerId)
 from pipitshed.decisions.rules import PACE_AGE, SLOW, Dispatcher
 from pipitshed.exchange.parties import Client, Endpoint, Exchange, Attempt, Refusal, Request, Translator
 from pipitshed.exchange.route_table import RouteTable, together
@@ -32,6 +32,7 @@
         self.settings = settings
         self.routes = RouteTable(self._list_told)
         self.routes.retold = settings.weights is Weights.LIVE
+        self.routes.owed = self._with_attempts
         self.translator: Translator | None = None  # where messages are translated
         self._untranslated: deque[Exchange] = deque()
         self.tally: Counter[str] = Counter()
@@ -262,6 +263,11 @@
             worker.pace > SLOW * dispatcher.pace and now - worker.pace_at < PACE_AGE))
             for worker in dispatcher.workers.values())
 
+    def _with_attempts(self) -> set[WorkerId]:
+        """The planners that attempts are out at, or wait to begin at."""
+        return {attempt.target.id for exchange in self._exchanges.values() for attempt in exchange.attempts
+                if not attempt.over}
+
     @property
     def busy(self) -> int:
         """How many exchanges wait for their answer."""
--- a/pipitshed/exchange/route_table.py
+++ b/pipitshed/exchange/route_table.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 from dataclasses import replace
+from itertools import takewhile
+from time import monotonic
 
 from pipitshed.decisions.interface import Entry, ListKind, ListMoved, ListNews, State, WorkerId
 from pipitshed.exchange.parties import Endpoint
 
 Line = tuple[Entry, Endpoint]
+REMEMBERED = 60.0  # s for which a planner that nobody lists is known; a turn's decisions may name it
 
 
 def together(news: Sequence[ListNews]) -> ListNews:
@@ -23,10 +26,12 @@
 
 
 class RouteTable:
-    """All endpoints ever listed, and what each source lists now."""
+    """What each source lists now, and the endpoints of all that is listed, or has left and is still owed."""
 
-    def __init__(self, post: Callable[[ListNews | ListMoved], None]) -> None:
+    def __init__(self, post: Callable[[ListNews | ListMoved], None],
+                 clock: Callable[[], float] = monotonic) -> None:
         self._post = post
+        self._clock = clock
         self._targets: dict[WorkerId, Endpoint] = {}
         self._listed: dict[str, dict[WorkerId, Entry]] = {}
         self._held: dict[WorkerId, float] = {}  # said itself that it drains: the start for which that holds
@@ -35,7 +40,10 @@
         self._interfaces = frozenset[int]()  # those with any, as last told
         self.retold = False  # an entry that is told anew as it was says something: weights are live
         self._leaving: set[WorkerId] = set()  # told of as draining or gone, and not of anything since
+        self._left: dict[WorkerId, float] = {}  # listed by nobody, and since when, the longest first
         self.on_interfaces: Callable[[], None] = lambda: None  # another set of interfaces is listed
+        self.on_forgotten: Callable[[WorkerId], None] = lambda worker: None
+        self.owed: Callable[[], Container[WorkerId]] = lambda: ()  # planners with attempts out, or to begin
 
     def target(self, worker: WorkerId) -> Endpoint | None:
         """Where an attempt to this planner goes; also when it has left the list."""
@@ -85,6 +93,23 @@
             self._list(listed, entry)
         kind = ListKind.DELTA if kind is ListKind.FULL else kind
         self._tell(ListNews(kind, version, tuple(entries.values())))
+        self._forget()
+
+    def _forget(self) -> None:
+        """Forget planners that left the list a while ago. Guards memory against replacements, day after day.
+        One with an attempt out stays: a connection to it that comes up late must find that it has gone."""
+        now = self._clock()
+        due = [worker for worker, _ in takewhile(
+            lambda left: now - left[1] >= REMEMBERED, self._left.items())]
+        owed = self.owed() if due else ()
+        for worker in due:
+            del self._left[worker]
+            if worker in owed:
+                self._left[worker] = now
+                continue
+            del self._targets[worker]
+            self._leaving.discard(worker)
+            self.on_forgotten(worker)
 
     def _list(self, listed: dict[WorkerId, Entry], entry: Entry) -> None:
         """Put one entry into a source's list, or take it out."""
@@ -93,7 +118,11 @@
             self._ready[old.interface] -= 1
             if not self._ready[old.interface]:
                 del self._ready[old.interface]
-        if entry.state is not State.GONE:
+        self._left.pop(entry.worker, None)
+        if entry.state is State.GONE:
+            if not any(entry.worker in one for one in self._listed.values()):
+                self._left[entry.worker] = self._clock()
+        else:
             listed[entry.worker] = entry
             if entry.state is State.READY:
                 self._ready[entry.interface] = self._ready.get(entry.interface, 0) + 1
--- a/pipitshed/routes/interfaces.py
+++ b/pipitshed/routes/interfaces.py
@@ -73,6 +73,10 @@
             return found or item.interface
         return found or self._told.get(item.instance_id, 0) or self._default
 
+    def forget(self, worker: WorkerId) -> None:
+        """The planner left the list a while ago, where its source did not say so itself."""
+        self._known.pop(worker, None)
+
     # ---- finding out
 
     def _ask(self, worker: WorkerId, known: _Known) -> None:
--- a/pipitshed/translating.py
+++ b/pipitshed/translating.py
@@ -27,6 +27,7 @@
                                      self.sounder.sound, loop.call_later)
         core.translator = self.translator
         core.routes.on_interfaces = core.interfaces_changed
+        core.routes.on_forgotten = self.interfaces.forget
         http.classes = classes
         http.on_wrong_interface = self.carrier.on_wrong_interface = self._wrong
         self.carrier.on_drain = self._drains
--- /dev/null
+++ b/tests/test_list_replaced.py
@@ -0,0 +1,178 @@
+"""Planners that are replaced are forgotten, and whatever is still owed of them is kept."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from unittest.mock import Mock
+
+import pytest
+from grpc_peer import GrpcPlanner, bench
+from helpers import entries
+from loopback import SETTINGS, Planner, Run, story
+from test_crossings import Rig, late_connections
+from test_interfaces import World, row
+
+from pipitshed.decisions.interface import Entry, ListKind, Outcome, State
+from pipitshed.exchange.parties import Endpoint
+from pipitshed.exchange.route_table import REMEMBERED, RouteTable
+
+DAY, REPLACED, LISTED = 86_400.0, 433, 200
+
+
+class Clock:
+    now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def name(number: int) -> bytes:
+    return b"s-%06d" % number
+
+
+def line(number: int, state: State = State.READY, port: int = 5000) -> tuple[Entry, Endpoint]:
+    return Entry(name(number), state=state), Endpoint(name(number), Mock(), (f"10.0.{number >> 8}.1", port))
+
+
+def objects(table: RouteTable) -> int:
+    """How many planners the table holds in any of its parts."""
+    parts = (table._targets, table._leaving, table._left, table._held)
+    return max(sum(map(len, table._listed.values())), *map(len, parts))
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_a_day_of_replacements_leaves_no_more_than_the_list_and_its_last_minute(whole: bool) -> None:
+    """433 more were held after one day, in each of the table's parts; by changes, and by whole lists."""
+    clock = Clock()
+    table = RouteTable(lambda news: None, clock)
+    forgotten: list[bytes] = []
+    table.on_forgotten = forgotten.append
+    table.fill("test", ListKind.FULL, 1, [line(number) for number in range(LISTED)])
+    for number in range(REPLACED):
+        clock.now += DAY / REPLACED
+        table.hold(name(number))
+        if whole:
+            first = number + 1
+            table.fill("test", ListKind.FULL, 2, [line(one) for one in range(first, first + LISTED)])
+        else:
+            table.fill("test", ListKind.DELTA, 2, [line(number, State.DRAINING)])
+            table.fill("test", ListKind.DELTA, 2, [line(number, State.GONE), line(number + LISTED)])
+        assert objects(table) <= LISTED + 1
+    assert table.size() == table.ready() == LISTED
+    assert forgotten == [name(number) for number in range(REPLACED - 1)]
+
+
+def test_a_name_that_comes_back_is_not_forgotten_and_has_its_new_address() -> None:
+    """Within the minute and after it, with the same or another address; and while another source lists it."""
+    clock = Clock()
+    table = RouteTable(lambda news: None, clock)
+    for after in (REMEMBERED - 1, REMEMBERED + 1):
+        table.fill("test", ListKind.DELTA, 1, [line(1), line(2)])
+        table.fill("other", ListKind.DELTA, 1, [line(2)])
+        table.fill("test", ListKind.DELTA, 1, [line(1, State.GONE), line(2, State.GONE)])
+        assert table.leaving(name(1))
+        clock.now += after
+        table.fill("test", ListKind.DELTA, 2, [line(1, port=6000)])
+        clock.now += 2 * REMEMBERED
+        table.fill("test", ListKind.DELTA, 2, [line(3)])
+        told = [table.target(name(number)) for number in (1, 2)]
+        assert [one is not None and one.address[1] for one in told] == [6000, 5000]
+        assert not table.leaving(name(1))
+
+
+@pytest.mark.parametrize("again", [False, True])
+def test_an_attempt_whose_connection_comes_up_long_after_its_planner_left_is_not_written(again: bool) -> None:
+    """Forgotten meanwhile, its planner would have counted as one that nothing is known against."""
+    @story
+    async def run() -> None:
+        async with Planner("p1") as planner, late_connections() as up:
+            rig, clock = Rig(), Clock()
+            table = rig.core.routes
+            table._clock = clock
+            rig.lists(planner.port)
+            [entry, other] = entries(2)
+            rig.send(rig.take("a1"))
+            await asyncio.sleep(0)
+            rig.lists(planner.port, State.GONE)
+            for _ in range(3):  # news of another planner, in which others would be forgotten
+                clock.now += 2 * REMEMBERED
+                table.fill("test", ListKind.DELTA, 1, [(other, Endpoint(other.worker, rig.carrier, None))])
+            assert table.leaving(entry.worker) and table.target(entry.worker) is not None
+            up()
+            assert await rig.outcome() is Outcome.CONNECT_FAILED and not planner.runs
+            if again:  # it is back, and cold: what is held of it is of its new start
+                rig.lists(planner.port)
+                rig.send(rig.take("a2"))
+                assert await rig.outcome() is Outcome.OK
+            clock.now += 2 * REMEMBERED
+            table.fill("test", ListKind.DELTA, 1, [(replace(other, weight=2.0), Mock())])
+            assert (table.target(entry.worker) is not None) is again
+            rig.carrier.close()
+    run()
+
+
+@story
+async def test_a_job_out_at_a_planner_that_was_replaced_is_answered() -> None:
+    """Its attempt holds its connection, and its outcome is told, whatever the table forgot."""
+    async with Planner("p1", act=lambda run: run.say("started")) as planner:
+        rig, clock = Rig(), Clock()
+        rig.core.routes._clock = clock
+        rig.core.routes.owed = lambda: ()  # even then
+        rig.lists(planner.port)
+        rig.send(rig.take("a1"))
+        run = await planner.wait_for(1)
+        rig.lists(planner.port, State.GONE)
+        clock.now += 2 * REMEMBERED
+        rig.core.routes.fill("test", ListKind.DELTA, 1, [])
+        assert rig.core.routes.target(rig.worker) is None
+        run.say("done", result="made")
+        assert await rig.outcome() is Outcome.OK
+
+
+@story
+async def test_the_pool_forgets_the_addresses_of_planners_that_were_replaced() -> None:
+    """An empty list for each address that ever was."""
+    rig = Rig()
+    for number in range(12):
+        async with Planner(f"p{number}", act=Run.serve) as planner:
+            rig.lists(planner.port)
+            rig.send(rig.take(f"a{number}"))
+            assert await rig.outcome() is Outcome.OK
+            connection = next(iter(rig.carrier._up))
+        while connection in rig.carrier._up:  # the planner's end closes it
+            await asyncio.sleep(0)
+    assert not rig.carrier._idle and not rig.carrier._resting and not rig.carrier._up
+
+
+@story
+async def test_a_connection_that_comes_up_for_nobody_is_closed_as_any_idle_one() -> None:
+    """Its attempt may not begin any more, as the planner has left; nothing else would end the connection."""
+    permissions = SETTINGS["permissions"] | {"idleClose": 100.0, "maxAttempts": 1}
+    async with (GrpcPlanner("p1") as planner, late_connections() as up,
+                bench(planner, settings={"permissions": permissions}) as made):
+        caller = made.ask()
+        while not made.carrier._all:
+            await asyncio.sleep(0)
+        made.list(planner, state=State.GONE)
+        up()
+        while not planner.peers:
+            await asyncio.sleep(0)
+        await asyncio.wait_for(planner.peers[0].lost.wait(), 2.0)
+        assert not planner.calls and not made.carrier._all and not made.carrier._connections
+        made.leave(caller)
+
+
+def test_what_is_known_of_interfaces_is_forgotten_where_a_whole_list_leaves_a_planner_out() -> None:
+    """No row says `gone` then: the planner was known for ever, and asked again and again."""
+    world, clock = World(), Clock()
+    world.table._clock = clock
+    world.table.on_forgotten = world.interfaces.forget
+    world.list(row("p1"), row("p2"))
+    world.table.fill("test", ListKind.FULL, 2, [world.listing.line(row("p2"))])
+    clock.now += 2 * REMEMBERED
+    world.list(row("p2"))
+    assert list(world.interfaces._known) == [b"p2"]
+    world.list(row("p1", started=5.0))
+    world.interfaces.sounded(b"p1", ("127.0.0.1", 7), 2)
+    assert world.entry("p1").interface == 2
