One judgement is due at a time, however many are suspected; a region cut stalled the view

Cause: each suspicion set an alarm of its own, and each alarm (`Membership._judge`) set one more for every suspicion that still ran, so that their number doubled with each judgement. With few suspected at once it went unseen; where a region of 23 was cut off from 57 the judgements never ended.

Also `_ends` counted the living by sorting them all; `View.alive` counts them.

--- a/pipitshed/membership/protocol.py
+++ b/pipitshed/membership/protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
@@ -83,6 +84,7 @@
         self._suspicions: dict[str, _Suspicion] = {}
         self._round: list[str] = []  # names still to be probed in this round
         self._due: list[tuple[float, int, str, int]] = []  # when, order, what, a probe's number
+        self._judge_at = math.inf  # the next judgement that is due
         self._effects: list[Effect] = []
         self.view.take(now, me)
         self.rumours.add(me)
@@ -282,14 +284,14 @@
             if suspicion is not None and word.said_by not in suspicion.said_by:
                 suspicion.said_by.add(word.said_by)
                 self.rumours.add(word)
-                self._at(self._ends(suspicion), "judge")
+                self._judge_by(self._ends(suspicion))
             return
         if not self.view.take(now, word):
             return
         self.rumours.add(word)
         if word.state is State.SUSPECT:
             suspicion = self._suspicions[word.name] = _Suspicion(word, now, {word.said_by})
-            self._at(self._ends(suspicion), "judge")
+            self._judge_by(self._ends(suspicion))
         else:
             self._suspicions.pop(word.name, None)
         before = held.state if held is not None else None
@@ -318,19 +320,29 @@
         self.rumours.add(self.me)
 
     def _ends(self, suspicion: _Suspicion) -> float:
-        fleet = len(self.view.living())
-        return suspicion.since + suspicion_lasts(self.scales, fleet, len(suspicion.said_by) - 1)
+        return suspicion.since + suspicion_lasts(self.scales, self.view.alive, len(suspicion.said_by) - 1)
+
+    def _judge_by(self, when: float) -> None:
+        """Judge by then. One alarm is enough, however many are suspected: with one for each, and each of them
+        set again for all the others, their number doubled with every judgement."""
+        if when < self._judge_at:
+            self._judge_at = when
+            self._at(when, "judge")
 
     def _judge(self, now: float) -> None:
         """Declare dead those whose suspicion has lasted its time; the others are looked at again."""
+        if now < self._judge_at:
+            return  # an alarm that an earlier one has taken the place of
+        self._judge_at = math.inf
         for name, suspicion in list(self._suspicions.items()):
             if now < self._ends(suspicion):
-                self._at(self._ends(suspicion), "judge")
                 continue
             del self._suspicions[name]
             held = self.view.get(name)
             if held is not None and held.state is State.SUSPECT:
                 self._take(now, _said(held, State.DEAD, self.me.name))
+        if self._suspicions:
+            self._judge_by(min(self._ends(suspicion) for suspicion in self._suspicions.values()))
 
     # ---- full exchanges
 
--- a/pipitshed/membership/view.py
+++ b/pipitshed/membership/view.py
@@ -66,6 +66,11 @@
             self.number += 1
         return buried
 
+    @property
+    def alive(self) -> int:
+        """How many are alive or suspected."""
+        return len(self._words) - len(self._gone)
+
     def living(self) -> list[Word]:
         """Members that are alive or suspected, by name."""
         return sorted((word for word in self if not word.gone), key=lambda word: word.name)
