A process is healthy once it has had the list, not by the one that it knew

Traced (LB_TRACE of all 220): 59 schedulers are killed at 12.3 s, 40 planners are gone at 14.1 s, the schedulers return at 30.6 s with the list that they had known, and send their first jobs by it in the 50 to 500 ms before they first ask for the list. Ruled out: the watch (the others had the news at 14.2 s), discovery (its answer to the new processes came within 0.1 s of their call). At fault: `/_health` was 200 from the first moment (`HttpFront.ready`), while the operators' `/-/ready` waited for the list.

Now both say the same (`Scheduler.ready`): not ready before discovery has told a list, for 4 s at most, or while nobody takes calls to it, as what nobody can ask for can't count as told.

Tests: test_discovery.py::test_a_restarted_process_takes_no_jobs_before_it_has_had_the_list fails without the change (seen).

--- a/pipitshed/ingress/http.py
+++ b/pipitshed/ingress/http.py
@@ -8,7 +8,7 @@
 import zlib
 from collections import deque
 from itertools import islice
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol, cast
 from urllib.parse import unquote_plus
 
@@ -319,7 +319,7 @@
         body = self._buffer.take_all()
         if verb == b"GET":
             ready = self._resource.split(b"?")[0] == b"/_health"
-            self._waiting.append(404 if not ready else 200 if self._front.ready else 503)
+            self._waiting.append(404 if not ready else 200 if self._front.ready() else 503)
         elif verb != b"POST":
             self._waiting.append(405)
         elif len(self._waiting) >= PIPELINED:
@@ -449,11 +449,12 @@
 class HttpFront:
     """All HTTP clients' connections."""
 
-    def __init__(self, core: Core, reading: Reading, most: int, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, core: Core, reading: Reading, most: int, loop: asyncio.AbstractEventLoop,
+                 ready: Callable[[], bool]) -> None:
         self.core = core
         self.reading = reading
         self.loop = loop
-        self.ready = False
+        self.ready = ready
         self.draining = False  # each answer says that its connection closes
         self.connections: dict[_Connection, None] = {}  # the last used last
         self.unproven: dict[_Connection, None] = {}  # no request was whole on these; heard longest ago first
--- a/pipitshed/routes/discovery.py
+++ b/pipitshed/routes/discovery.py
@@ -130,6 +130,7 @@
         self.loop = loop
         self.version = 0
         self.heard = False  # discovery itself has told a list since the start
+        self.unreached = False  # the last call that ended could not connect
         self.connect_timeout, self.answer_timeout = CONNECT_TIMEOUT, ANSWER_TIMEOUT
         self.calls = 0  # that are under way
         self._idle_since = math.inf
@@ -286,6 +287,7 @@
             async with asyncio.timeout(owner.connect_timeout):
                 await owner.loop.create_connection(lambda: self, *owner.address)
         except OSError:
+            owner.unreached = True
             self.fail()
         except Exception:
             log.exception("a call to discovery")
@@ -318,6 +320,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are none by inheritance
+        self._discovery.unreached = False
         if self._over:
             self._transport.abort()
             return
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -94,13 +94,12 @@
         translator = self.translation.translator if self.translation is not None else None
         self.plan = self._plan(config, front) if front.plan is not None else None
         self.front = HttpFront(self.core, Reading(self.core, config.classes, config.tenants, translator),
-                               int(config.sockets * CLIENTS_PART), loop)
+                               int(config.sockets * CLIENTS_PART), loop, self.ready)
         self.listeners = [Listener(config.listen, self._client, loop, self.front.has_room, config.passed)]
         if front.listen:
             gearman = self.gearman = self._gearman(config, front, zones, kinds)
             self.listeners += [Listener(address, gearman.connection, loop, gearman.has_room)
                                for address in front.listen]
-        self.front.ready = True
         self.mgmt: MgmtFront | None = None
         self.mgmt_listener: Listener | None = None
         if config.mgmt is not None:
@@ -124,11 +123,12 @@
         return self.front.connection()
 
     def ready(self) -> bool:
-        """Whether this process is ready to serve: listening, not ending, and with a list from discovery (or
-        a while after its start without one)."""
-        listed = self.discovery is None or self.discovery.heard or (
+        """Whether this process is ready to serve: not ending, and with a list from discovery (or where nobody
+        takes calls to it, or a while after the start). Guards against jobs sent by the list that it knew when
+        it was killed: planners that have gone since count as told."""
+        listed = self.discovery is None or self.discovery.heard or self.discovery.unreached or (
             self._loop.time() - self._started > READY_WITHOUT_LIST)
-        return self.front.ready and not self._draining and listed
+        return listed and not self._draining
 
     def figures(self) -> bytes:
         """The text of the operators' `/-/metrics`."""
@@ -260,7 +260,6 @@
         log.info("ending: no longer ready; all that was taken is answered first")
         longest = max(cls.deadline for cls in self.core.settings.classes) / 1000
         self._end_by = self._loop.time() + LISTEN_ON + longest + LONGEST_END
-        self.front.ready = False
         self._loop.call_later(LISTEN_ON, self._close_doors)
         # Guards against a roll in which nobody is left to go to: clients sent away at once find the peer that
         # was restarted just before still down.
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -253,6 +253,15 @@
         return int(line.split()[1]), headers, body
 
 
+HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+
+async def healthy(port: int) -> None:
+    """Ask until the program takes jobs, as the platform's front does."""
+    while (await call(port, HEALTH))[0] != 200:
+        await asyncio.sleep(0.02)
+
+
 async def call(port: int, request: bytes) -> tuple[int, bytes]:
     """One call at the operators' address: its status and body."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,7 +6,8 @@
 import json
 
 import pytest
-from loopback import SETTINGS, Catalog, HttpClient, Planner, Reader, Run, Writer, program, story
+from loopback import (
+    HEALTH, SETTINGS, Catalog, HttpClient, Planner, Reader, Run, Writer, call, healthy, program, story)
 
 TOLD_BY = 6.0  # s after which a change counts as told, whatever became of the calls
 
@@ -90,6 +91,33 @@
     run()
 
 
+@story
+async def test_a_restarted_process_takes_no_jobs_before_it_has_had_the_list() -> None:
+    """The failure met: schedulers of a lost zone came back 18 s later with the list that they had known, and
+    sent their first jobs by it to planners that had gone 16 s before."""
+    class Held(Catalog):
+        def __init__(self, *planners: Planner) -> None:
+            super().__init__(*planners)
+            self.called, self.go = asyncio.Event(), asyncio.Event()
+
+        async def serve(self, reader: Reader, writer: Writer) -> None:
+            self.called.set()
+            await self.go.wait()
+            await super().serve(reader, writer)
+
+    async with (Planner("p1") as gone, Planner("p2") as here, Held(here) as catalog,
+                program(gone, catalog=catalog) as running):
+        assert (await call(running.port, HEALTH))[0] == 503
+        await catalog.called.wait()
+        assert (await call(running.port, HEALTH))[0] == 503
+        catalog.go.set()
+        await healthy(running.port)
+        client = await HttpClient.to(running.port)
+        client.ask("a1")
+        assert (await client.answer())[0] == 200
+        assert not gone.runs and len(here.runs) == 1
+
+
 @story
 async def test_lists_that_come_indented_are_read_whole_from_a_watch() -> None:
     """Lists may come indented: then a piece of news is many lines, and some end like a whole one."""
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -4,7 +4,7 @@
 import signal
 
 import pytest
-from loopback import SETTINGS, Catalog, HttpClient, Planner, Run, program, story
+from loopback import SETTINGS, Catalog, HttpClient, Planner, Run, healthy, program, story
 
 
 @story
@@ -186,6 +186,7 @@
     """Guards against the loss of the listener: the client that is idle for longest makes room."""
     async with Planner("p1") as planner, program(planner, sockets=40) as running:
         clients = []
+        await healthy(running.port)
         for number in range(60):
             clients.append(await HttpClient.to(running.port))
             if number % 4 == 3:  # an answer shows that all before it have been let in
@@ -201,6 +202,7 @@
     """Guards against room made twice by one connection: in a burst accepted in one turn, each newcomer closed
     the same oldest connection, as it stood among the open ones until its end was told."""
     async with Planner("p1") as planner, program(planner, sockets=40) as running:
+        await healthy(running.port)
         first = [await HttpClient.to(running.port) for _ in range(16)]  # the clients' part of 40
         health = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
         first[-1].writer.write(health)
