A job reads its own tenant's traffic alone, not that of all tenants

Cause: `_over_share` faded the recent jobs of every tenant, and summed every share and count, for each job that came in. Change: each tenant's count fades when it is added to (`recent.Fading`), one count holds all, and the shares are summed at the start and at a reload. `Window` moves beside it as it was, its figures as arguments.

A test counts the rows of tenants and traffic that a job reads: none; it fails with either sum put back. A tenant that a reload drops stays in the count of all until it has faded (2 s).

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -9,7 +9,6 @@
 
 import math
 import random
-from collections import deque
 from collections.abc import Iterable
 
 from pipitshed.decisions.interface import (
@@ -17,6 +16,7 @@
     ListMoved, ListNews, Note, NoteKind, Outcome, Refuse, Send, SetTimer, Settings, State,
     Submitted, TimerFired, WatchList, Weights, Withdrawn, WorkerId)
 from pipitshed.decisions.pools import Pools
+from pipitshed.decisions.recent import Fading, Window
 
 WINDOW = 30  # attempts in the estimate of f; the paper's figure
 WINDOW_AGE = 30_000.0  # ms an attempt counts in f: a sparse dispatcher's window fills, an old wave leaves
@@ -122,34 +122,6 @@
         return [attempt for attempt in self.attempts if attempt.out]
 
 
-class Window:
-    """The recent attempts that f is taken from, with what it is taken from counted as they come and go."""
-
-    __slots__ = ("entries", "missed", "turned")
-
-    def __init__(self) -> None:
-        self.entries: deque[tuple[float, bool, bool]] = deque()  # when, no room, turned away
-        self.missed = self.turned = 0
-
-    def add(self, now: float, missed: bool, turned: bool = False) -> None:
-        if len(self.entries) == WINDOW:
-            self._drop()
-        self.entries.append((now, missed, turned))
-        self.missed += missed
-        self.turned += turned
-
-    def f(self, now: float) -> float | None:
-        """The part that found no room; None while there are too few that are not too old."""
-        while self.entries and self.entries[0][0] < now - WINDOW_AGE:
-            self._drop()
-        return self.missed / WINDOW if len(self.entries) == WINDOW else None
-
-    def _drop(self) -> None:
-        _, missed, turned = self.entries.popleft()
-        self.missed -= missed
-        self.turned -= turned
-
-
 class Dispatcher:
     """One dispatcher: events in, actions out; no clock and no I/O of its own."""
 
@@ -165,7 +137,7 @@
         self.waiting: dict[int, Job] = {}  # jobs with no attempt out
         self.timers: dict[int, Job | None] = {}
         self.tokens = 0
-        self.window = Window()
+        self.window = Window(WINDOW, WINDOW_AGE)
         self.pace = 0.0  # mean time a unit of work takes
         self.slots: dict[int, float] = {}  # most slots seen in use on a worker of each kind
         self.means = [0.0] * len(settings.classes)  # ms that a job of each class held a slot
@@ -173,8 +145,8 @@
         self.mine = self.all = 0.0  # mean slots that own jobs, and all, held where reports came from
         self.served = 1.0  # part of the recent jobs that were not refused at once and got served
         self.value = self.worth = 0.0  # mean worth for work, and mean worth, of the jobs served
-        self.heard = [0.0] * len(settings.tenants)  # own recent jobs of each tenant, fading
-        self.heard_at = 0.0
+        self.heard: list[Fading] = []  # own recent jobs of each tenant
+        self.heard_all = Fading(SHARE_MS)  # and of all that have an allowance
         self.list_failures, self.list_due, self.list_asked = 0, math.inf, -math.inf
         self.retune(settings)
 
@@ -185,7 +157,8 @@
             self.pools.clear()
         self.settings = settings
         self.means += [0.0] * (len(settings.classes) - len(self.means))
-        self.heard = (self.heard + [0.0] * len(settings.tenants))[:len(settings.tenants)]
+        self.heard = [*self.heard, *(Fading(SHARE_MS) for _ in settings.tenants)][:len(settings.tenants)]
+        self.shares = sum(tenant.share for tenant in settings.tenants) or 1.0
         self.least_worth = min(cls.worth for cls in settings.classes) or 1.0
         self.fields = {name: place for place, name in enumerate(settings.report_fields)}
 
@@ -460,13 +433,9 @@
         tenants = self.settings.tenants
         if tenant >= len(tenants) or not tenants[tenant].allowance:
             return False  # none is told: nothing is beyond it
-        fade = math.exp((self.heard_at - self.now) / SHARE_MS)
-        self.heard, self.heard_at = [heard * fade for heard in self.heard], self.now
-        self.heard[tenant] += 1
-        mine, told = self.heard[tenant], tenants[tenant]
+        mine, every, told = self.heard[tenant].add(self.now), self.heard_all.add(self.now), tenants[tenant]
         allowed = told.allowance / 1000 * SHARE_MS * self._part()
-        part = told.share / (sum(one.share for one in tenants) or 1.0)
-        if not self.all and mine <= UNEVEN * part * sum(self.heard):
+        if not self.all and mine <= UNEVEN * told.share / self.shares * every:
             return False
         return mine > max(1.0, allowed) and self.rng.random() > allowed / mine
 
--- a/tests/test_decisions_scale.py
+++ b/tests/test_decisions_scale.py
@@ -5,6 +5,7 @@
 import math
 import random
 from collections import Counter
+from collections.abc import Iterator
 from itertools import accumulate
 
 import pytest
@@ -13,8 +14,9 @@
 
 from benchmarks.capacity.decisions import CLASSES, ZONES, Scheduler, gone
 from pipitshed.decisions import pools
-from pipitshed.decisions.interface import ListKind
+from pipitshed.decisions.interface import JobClass, ListKind, Settings, Submitted, Tenant
 from pipitshed.decisions.pools import Pools, Sums
+from pipitshed.decisions.rules import Dispatcher
 
 
 @pytest.fixture
@@ -77,6 +79,23 @@
     assert not touched
 
 
+def test_a_job_of_one_tenant_reads_no_other() -> None:
+    read: list[int] = []
+
+    class Rows(list[object]):
+        def __iter__(self) -> Iterator[object]:
+            read.append(len(self))
+            return super().__iter__()
+
+    tenants = Rows(Tenant(1.0, 0.5) for _ in range(380))
+    dispatcher = Dispatcher(Settings(classes=(JobClass(300.0, 5000.0),), tenants=tenants), 1)
+    dispatcher.heard = Rows(dispatcher.heard)
+    read.clear()
+    for job in range(20):
+        dispatcher.handle(1000.0, [Submitted(job, 4000.0, tenant=job % 3)])
+    assert not read and dispatcher.heard[0].count == 7 and dispatcher.heard_all.count == 20
+
+
 def test_pools_that_are_not_drawn_from_are_dropped() -> None:
     scheduler = scheduler_of(200)
     for _ in range(120):
