What has left the list for a minute is forgotten, but for what it still owes

Cause: `Dispatcher.workers` never lost an entry, and `timers` held each job, its attempts and so their workers until the job's deadline. After 433 replaced planners 433 more stood in the decisions.

Change: what is gone, or lacks in a whole list, is forgotten with the first news that comes 60 s later: every ejection of its own is over (14.4 s at most), its pace void (10 s), its idle connections closed (15 s by default). Back within that time, as a list may lack it once, it is as it was: strikes, pace, slots held. It is kept for longer while an attempt is out there, or while its own pushback holds; a job keeps the workers that it tried, so it goes there not again, and a repeat stays in the first one's zone or cell also when that was forgotten. Back later it is new, and cold where its start says so. A time and no number bounds the gone: a list that comes empty once would else cost the whole fleet what is known of it. A timer keeps its job's number. What is listed as draining is kept.

Tests: the growth in objects, places and tables; and each thing that is owed.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections.abc import Iterable
+from itertools import takewhile
 
 from pipitshed.decisions.interface import (
     Action, Cancel, Effect, Entry, Event, Fail, Finished, FirstByte, Group, JobClass, LinkLost, ListKind,
@@ -56,6 +57,7 @@
 LEAST_ASK = 20.0  # ms from a failed call to the next at least
 MOVED_SPREAD = 0.01  # part of the time within which the list must be asked for, to ask it where it moved
 LIVE_SMOOTHING = 0.1  # weight of a new live list weight: live weights fold in load and lag
+FORGET_MS = 60_000.0  # after which what has left the list is forgotten; nothing is held against it so long
 UNRUN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))  # these prove it never ran
 
 Scope = tuple[str, int] | None  # workers a job may go to: a zone, a cell, or all
@@ -66,7 +68,7 @@
 
     __slots__ = ("id", "zone", "cell", "kind", "weight", "started_at", "ready", "unstarted", "ejected_until",
                  "strikes", "failing", "idle", "idle_at", "pace",
-                 "pace_at", "held", "classes", "interface", "planned")
+                 "pace_at", "held", "out", "classes", "interface", "planned")
 
     def __init__(self, entry: Entry) -> None:
         self.id = entry.worker
@@ -76,6 +78,7 @@
         self.started_at = 0.0
         self.ready = False
         self.unstarted = 0  # own jobs sent there that have not started
+        self.out = 0  # own attempts there
         self.held = 0.0  # slots that own jobs hold: those that started, all where no starts are told
         self.ejected_until = 0.0  # passed over until then
         self.strikes = self.failing = 0  # no room found in a row; errors, halved by each served job
@@ -131,11 +134,12 @@
         self.now = 0.0
         self.actions: list[Action] = []
         self.workers: dict[WorkerId, Worker] = {}
+        self.gone: dict[WorkerId, float] = {}  # no longer listed, and since when
         self.pools = Pools(self._weights, 3)
         self.planned: set[WorkerId] = set()  # ready ones of a plan; where there are any, draws go by it
         self.jobs: dict[int, Job] = {}
         self.waiting: dict[int, Job] = {}  # jobs with no attempt out
-        self.timers: dict[int, Job | None] = {}
+        self.timers: dict[int, int | None] = {}  # the jobs they are for; None for the list
         self.tokens = 0
         self.window = Window(WINDOW, WINDOW_AGE)
         self.pace = 0.0  # mean time a unit of work takes
@@ -199,9 +203,12 @@
                 listed.add(entry.worker)
             if news.kind is not ListKind.DELTA:
                 for worker in self.workers.values():
-                    if worker.ready and worker.id not in listed:
-                        worker.ready = False
-                        self._changed(worker)
+                    if worker.id not in listed:
+                        self.gone.setdefault(worker.id, self.now)
+                        if worker.ready:
+                            worker.ready = False
+                            self._changed(worker)
+            self._forget()
         if self.settings.list_on_request and news.kind in (ListKind.FAILED, ListKind.CACHED):
             self._ask_list_in(self._list_wait(news.kind))
         elif news.kind is not ListKind.FAILED:
@@ -234,6 +241,8 @@
     def _entry(self, entry: Entry) -> None:
         worker = self.workers.get(entry.worker)
         if worker is None:
+            if entry.state is State.GONE:
+                return
             worker = self.workers[entry.worker] = Worker(entry)
             self.pools.add(worker, (None, ("zone", worker.zone), ("cell", worker.cell)))
         before = worker.told()
@@ -245,11 +254,28 @@
         worker.interface, worker.planned = entry.interface, entry.planned
         if before != worker.told():
             self._changed(worker)
+        if entry.state is State.GONE:
+            self.gone.setdefault(worker.id, self.now)
+        else:
+            self.gone.pop(worker.id, None)
         if entry.started_at > worker.started_at:
             # A new start: what was held against the old process is void, and it is cold.
             worker.started_at = entry.started_at
             worker.ejected_until, worker.strikes = 0.0, 0
 
+    def _forget(self) -> None:
+        """Forget what left the list so long ago that nothing is held against it, but where an attempt is out,
+        or a planner's own word of when to come back holds. Jobs keep what they have tried. What is back
+        sooner, as a list may lack it once, is as it was; later it is new, and cold if its start says so."""
+        for name in list(takewhile(lambda name: self.gone[name] <= self.now - FORGET_MS, self.gone)):
+            worker = self.workers[name]
+            del self.gone[name]
+            if worker.out or worker.ejected_until > self.now:
+                self.gone[name] = self.now  # to be looked at again
+            else:
+                del self.workers[name]
+                self.pools.remove(worker)
+
     def _changed(self, worker: Worker) -> None:
         """Have what the list tells of a worker count in the draws."""
         (self.planned.add if worker.ready and worker.planned else self.planned.discard)(worker.id)
@@ -418,7 +444,7 @@
             self._close(job)
             return
         self.waiting[job.id] = job
-        self._set_timer(job, job.deadline - 2 * self.settings.tick)
+        self._set_timer(job.id, job.deadline - 2 * self.settings.tick)
         self._step(job)
 
     def _value(self, job: Job) -> float:
@@ -480,6 +506,7 @@
         now = self.now
         attempt = Attempt(worker, now)
         job.attempts.append(attempt)
+        worker.out += 1
         self.waiting.pop(job.id, None)
         worker.idle = max(0, worker.idle - 1) if now - worker.idle_at < self.settings.limits.idle_close else 0
         self.actions.append(Send(job.id, worker.id, write_within=self._write_within(job)))
@@ -601,6 +628,7 @@
         attempt = job.attempts[event.attempt]
         worker = attempt.worker
         attempt.out = False
+        worker.out -= 1
         attempt.unrun, attempt.served = event.outcome in UNRUN, event.outcome is Outcome.OK
         self._report(worker, event.report)
         if attempt.started:
@@ -714,7 +742,7 @@
 
     # ---- timers
 
-    def _set_timer(self, job: Job | None, when: float) -> None:
+    def _set_timer(self, job: int | None, when: float) -> None:
         self.tokens += 1
         self.timers[self.tokens] = job
         self.actions.append(SetTimer(self.tokens, max(0.0, when - self.now)))
@@ -723,16 +751,17 @@
         """See to the job at `when`, unless an earlier timer will do so first."""
         if when < job.wake:
             job.wake = when
-            self._set_timer(job, when)
+            self._set_timer(job.id, when)
 
     def _timer(self, token: int) -> None:
         if token not in self.timers:
             return
-        job = self.timers.pop(token)
-        if job is not None:
+        number = self.timers.pop(token)
+        if number is None:
+            if self.now >= self.list_due:
+                self.list_due, self.list_asked = math.inf, self.now
+                self.actions.append(WatchList(True))
+        elif (job := self.jobs.get(number)) is not None:
             if self.now >= job.wake:
                 job.wake = math.inf
             self._step(job)
-        elif self.now >= self.list_due:
-            self.list_due, self.list_asked = math.inf, self.now
-            self.actions.append(WatchList(True))
--- /dev/null
+++ b/tests/test_decisions_forget.py
@@ -0,0 +1,133 @@
+"""What has left the list is forgotten in time, and what is still owed is kept."""
+
+from __future__ import annotations
+
+import gc
+from collections.abc import Iterable
+from dataclasses import replace
+
+import pytest
+from helpers import Bench, entries, sends_of, settings, worker_id
+
+from benchmarks.capacity.decisions import Scheduler
+from pipitshed.decisions.interface import (
+    Effect, Group, Limits, ListKind, ListNews, Outcome, Rules, Send, State, Submitted)
+from pipitshed.decisions.rules import FORGET_MS, Worker
+
+ONE, TWO = worker_id(1), worker_id(2)
+FIRST, SECOND, THIRD = entries(3, started_at=500.0)
+LONG = Limits(cancel=True, parallel=True, max_attempts=9)
+
+
+def bench_of(effect: Effect = Effect.SAFE, group: Group = Group.ALL) -> Bench:
+    config = settings(effect, group, limits=LONG, zones=1, rules=Rules(answer_slack=20.0, cold=9000.0))
+    cls = replace(config.classes[0], window=300_000.0, deadline=300_000.0)
+    bench = Bench(replace(config, classes=(cls,)))
+    bench.now = 100_000.0
+    tell(bench, FIRST)
+    return bench
+
+
+def tell(bench: Bench, *listed: object) -> list[Send]:
+    return sends_of(bench.feed(ListNews(ListKind.DELTA, 1, listed)))  # type: ignore[arg-type]
+
+
+def gone(bench: Bench, wait: float = FORGET_MS) -> None:
+    """The first leaves the list, and so long after it there is other news."""
+    tell(bench, replace(FIRST, state=State.GONE))
+    bench.now += wait
+    tell(bench, replace(THIRD, state=State.DRAINING))
+
+
+def sent(bench: Bench) -> Send:
+    [send] = sends_of(bench.feed(Submitted(1, 250_000.0)))
+    return send
+
+
+def retried(bench: Bench) -> Iterable[Send]:
+    return sends_of(bench.run(bench.now + 1000.0))
+
+
+def test_replaced_planners_are_forgotten_with_all_that_held_them() -> None:
+    scheduler = Scheduler(200)
+    tables = scheduler.dispatcher
+    before = sum(isinstance(one, Worker) for one in gc.get_objects())
+    for _ in range(3):
+        for _ in range(433):
+            scheduler.replace()
+        scheduler.now += FORGET_MS
+        scheduler.replace()
+    assert len(tables.workers) <= 202 and len(tables.gone) <= 2
+    assert all(len(tagged.members) <= 200 + 433 + 3 for tagged in tables.pools._tagged.values())
+    gc.collect()
+    assert sum(isinstance(one, Worker) for one in gc.get_objects()) - before <= 2
+
+
+def test_what_a_list_lacked_once_is_as_it_was() -> None:
+    bench = bench_of()
+    bench.finish(sent(bench), 0, Outcome.FULL)
+    was = bench.dispatcher.workers[ONE]
+    assert was.strikes == 1
+    gone(bench, FORGET_MS - 1)
+    tell(bench, FIRST)
+    assert bench.dispatcher.workers[ONE] is was
+    gone(bench, FORGET_MS - 1)  # it was listed meanwhile: its time begins anew
+    assert ONE in bench.dispatcher.workers
+
+
+@pytest.mark.parametrize("state", (State.DRAINING, State.READY))
+def test_what_is_listed_is_kept(state: State) -> None:
+    bench = bench_of()
+    gone(bench, 0.0)
+    tell(bench, replace(FIRST, state=state))
+    bench.now += 2 * FORGET_MS
+    tell(bench)
+    assert ONE in bench.dispatcher.workers
+
+
+def test_one_with_an_attempt_out_is_kept_until_that_ends() -> None:
+    bench = bench_of()
+    send = sent(bench)
+    gone(bench)
+    assert bench.dispatcher.workers[ONE].unstarted + bench.dispatcher.workers[ONE].held == 1
+    bench.finish(send, 0, Outcome.OK)
+    bench.now += FORGET_MS
+    tell(bench)
+    assert ONE not in bench.dispatcher.workers
+
+
+def test_a_planners_own_word_of_when_to_come_back_holds_for_it() -> None:
+    bench = bench_of()
+    bench.finish(sent(bench), 0, Outcome.FULL, pushback=2 * FORGET_MS)
+    gone(bench)
+    assert bench.dispatcher.workers[ONE].ejected_until > bench.now
+    bench.now += 2 * FORGET_MS
+    tell(bench)
+    assert ONE not in bench.dispatcher.workers
+
+
+def test_a_job_goes_not_again_to_one_it_tried_that_was_forgotten_and_is_back() -> None:
+    for _ in range(8):
+        bench = bench_of()
+        bench.finish(sent(bench), 0, Outcome.FULL)
+        gone(bench)
+        assert ONE not in bench.dispatcher.workers
+        tell(bench, replace(FIRST, started_at=600.0), SECOND)
+        assert [send.worker for send in retried(bench)][:1] == [TWO]
+
+
+def test_a_repeat_stays_in_the_zone_of_one_that_was_forgotten() -> None:
+    bench = bench_of(Effect.KEYED, Group.ZONE)
+    bench.finish(sent(bench), 0, Outcome.RESET)
+    gone(bench)
+    tell(bench, SECOND)
+    assert ONE not in bench.dispatcher.workers and not retried(bench)
+    tell(bench, replace(THIRD, state=State.READY))
+    assert {send.worker for send in retried(bench)} == {THIRD.worker}
+
+
+def test_one_that_was_forgotten_is_cold_from_its_new_start() -> None:
+    bench = bench_of()
+    gone(bench)
+    tell(bench, replace(FIRST, started_at=bench.now - 100.0))
+    assert bench.dispatcher._cold(bench.dispatcher.workers[ONE])
