Whole lists are counted, and a story holds how often each event brings one

Looked at: after a start, a broken, silent or cut watch, a reload that moves discovery. Each call names the version known, from the configuration's `known` on and by each change since, so one whole list comes after a start that knows none discovery still has, and none after the rest; an answer that breaks off in the middle of a whole one brings it again. No call without `from` is made: the decisions ask for watches alone. Nothing was to be mended there; now it is held.

- `INFO discovery: the whole list, version V, N planners` for each; `ended:` counts list calls, bytes, whole lists and planners in changes.

--- a/pipitshed/mgmt/figures.py
+++ b/pipitshed/mgmt/figures.py
@@ -49,6 +49,12 @@
     return ("\n".join(lines) + "\n").encode()
 
 
+def count_lines(tally: Mapping[str, int]) -> bytes:
+    """Further counts, such as those of the list's calls; told beside the fleet's figures alone."""
+    return "".join(f"{PREFIX}.{name.replace(' ', '_')}={count}\n"
+                   for name, count in sorted(tally.items())).encode()
+
+
 def _gauges(gauges: Gauges) -> Iterable[tuple[str, int]]:
     return (("current", gauges.current), ("cluster_size", gauges.cluster_size),
             ("cluster_unhealthy", gauges.cluster_unhealthy), ("conf_loaded", gauges.conf_loaded),
--- a/pipitshed/routes/discovery.py
+++ b/pipitshed/routes/discovery.py
@@ -7,7 +7,7 @@
 import math
 import re
 import sys
-from collections import deque
+from collections import Counter, deque
 from typing import Protocol, cast
 
 import msgspec
@@ -136,6 +136,7 @@
         self._idle_since = math.inf
         self._look: asyncio.TimerHandle | None = None
         self._watch: _Call | None = None
+        self.tally: Counter[str] = Counter()  # calls, bytes that came, whole lists, planners in changes
         self._wrong = ""  # what was last said to be wrong with the news
         self._waiting: deque[_News] = deque()  # pieces that are not in the table yet
         self._lines: list[Line] = []  # of the first of them
@@ -165,6 +166,7 @@
             self.close()
         call = _Call(self, watch)
         self.calls += 1
+        self.tally["list calls"] += 1
         self._idle_since = math.inf
         if self._look is None:
             self._look = self.loop.call_later(IDLE_LOOK, self._look_after)
@@ -252,6 +254,12 @@
             self._waiting.popleft()
             self._lines = []
             self.heard = True
+            if members.reset:
+                self.tally["whole lists"] += 1
+                log.info("discovery: the whole list, version %d, %d planners", members.generation,
+                         len(members.instances))
+            else:
+                self.tally["list changes"] += len(members.instances)
             if current:
                 self.version = members.generation
                 self.right()
@@ -332,6 +340,7 @@
         if self._over:
             return
         unfinished = self._unfinished
+        self._discovery.tally["list bytes"] += len(data)
         try:
             self._reader.feed(data)
         except BadAnswerError as error:
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import signal
+from collections import Counter
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -19,7 +20,7 @@
 from pipitshed.ingress.gearman import Function, GearmanFront
 from pipitshed.ingress.http import LINGER_ENDING, HttpFront, Reading
 from pipitshed.ingress.listener import Listener
-from pipitshed.mgmt.figures import Gauges, by_class, render
+from pipitshed.mgmt.figures import Gauges, by_class, count_lines, render
 from pipitshed.mgmt.front import MgmtFront
 from pipitshed.routes.discovery import SOURCE as DISCOVERY
 from pipitshed.routes.discovery import Discovery, Listing, Members, Names, list_bound
@@ -135,7 +136,10 @@
         core = self.core
         gauges = Gauges(core.busy, core.routes.size(), core.avoided(), self.conf_loaded, self.conf_invalid)
         told = render(by_class(self.book.names, core.ended, core.sends), gauges)
-        return told + self.fleet.lines() if self.fleet is not None else told
+        if self.fleet is None:
+            return told
+        tally = self.discovery.tally if self.discovery is not None else Counter[str]()
+        return told + self.fleet.lines() + count_lines(tally)
 
     def _gearman(self, config: Config, front: Front, zones: Names, kinds: Names) -> GearmanFront:
         functions = {}
@@ -195,7 +199,8 @@
         await self._ended.wait()
         # Guards the exit code: when the loop ends, its handlers go.
         signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
-        log.info("ended: %s", " ".join(f"{name}={count}" for name, count in sorted(self.core.tally.items())))
+        tally = self.core.tally + (self.discovery.tally if self.discovery is not None else Counter())
+        log.info("ended: %s", " ".join(f"{name}={count}" for name, count in sorted(tally.items())))
 
     def reload(self) -> None:
         """Read the configuration again: new settings, and discovery followed to the address it names;
