--- /dev/null
+++ b/pipitshed/replication/rows.py
@@ -0,0 +1,171 @@
+"""Small versioned rows, and a table of them. Whoever was told the same rows holds the same table, in whatever
+order they came."""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter
+from collections.abc import Iterator
+
+import msgspec
+
+from pipitshed.replication.digests import Tree, hashed
+
+FORM = 1  # of the rows that this program writes and reads
+KEY_LIMIT = 128  # bytes
+WRITER_LIMIT = 64  # bytes
+_encoder = msgspec.msgpack.Encoder()
+
+
+class Row(msgspec.Struct, frozen=True, array_like=True):
+    """One row. Its version is (term, number): its one writer raises the number, a take-over by another writer
+    raises the term. A form above `FORM` is from a newer program: kept and passed on unread."""
+
+    key: str
+    term: int
+    number: int
+    writer: str
+    body: bytes
+    deleted: bool = False
+    form: int = FORM
+
+    @property
+    def readable(self) -> bool:
+        """Whether this program knows what the body means."""
+        return self.form <= FORM
+
+    @property
+    def size(self) -> int:
+        """Bytes that it takes in a message."""
+        return len(_encoder.encode(self))
+
+    @property
+    def content(self) -> int:
+        """A hash of all of it."""
+        return hashed(_encoder.encode(self))
+
+    def sound(self) -> bool:
+        """Whether it has the form of a row; what strangers send is held against it."""
+        return (0 < len(self.key.encode()) <= KEY_LIMIT and 0 < len(self.writer.encode()) <= WRITER_LIMIT
+                and 0 < self.term < 2**32 and 0 < self.number < 2**62 and 0 < self.form < 2**16)
+
+
+def rank(row: Row) -> tuple[int, int, bool, int]:
+    """What is newer has the higher rank. A total order: of two contents under one number the same one stands
+    everywhere."""
+    return row.term, row.number, row.deleted, row.content
+
+
+class Taken(enum.Enum):
+    """What became of a row that was told."""
+
+    NEW = "new"  # it stands now
+    OLD = "old"  # a newer one is held
+    SAME = "same"  # it is held already
+    CONFLICT = "conflict"  # another content is held under its number, and outranks it
+    TOO_LONG = "too-long"
+    TOO_MANY = "too-many"
+    UNSOUND = "unsound"
+
+
+class RowError(ValueError):
+    """A row can't be put; the text says why in one line."""
+
+
+class RowTable:
+    """The newest of each row. A deleted row stays for good as an empty one, its tombstone, within the bound
+    on rows: nobody who was away, however long, brings it back. Where the bound is reached, new keys are
+    refused."""
+
+    def __init__(self, name: str, most_rows: int = 4096, most_bytes: int = 1 << 20,
+                 row_limit: int = 600) -> None:
+        """`most_bytes` of all rows as they are sent, `row_limit` bytes of one."""
+        self.name = name
+        self.most_rows, self.most_bytes, self.row_limit = most_rows, most_bytes, row_limit
+        self.number = 0  # counts changes
+        self.counts: Counter[str] = Counter()  # rows taken, by `Taken`, and `conflicts` and `writers`
+        self.caught_up = False  # whether it was compared with a peer since the start, or there is none
+        self.tree = Tree()
+        self._rows: dict[str, Row] = {}
+        self._bytes = 0
+
+    def __iter__(self) -> Iterator[Row]:
+        return iter(self._rows.values())
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def get(self, key: str) -> Row | None:
+        """The row of a key; its tombstone where it was deleted."""
+        return self._rows.get(key)
+
+    def digest(self) -> bytes:
+        """8 bytes, equal where two tables hold the same."""
+        return self.tree.digest()
+
+    def put(self, key: str, body: bytes, writer: str, take_over: bool = False) -> Row:
+        """Write a row; RowError where it can't be. Its number comes from the row held, never from a clock."""
+        return self._write(key, body, writer, take_over, False)
+
+    def delete(self, key: str, writer: str, take_over: bool = False) -> Row:
+        """Delete a row; RowError where there is none, or it is another writer's."""
+        held = self._rows.get(key)
+        if held is None or held.deleted:
+            raise RowError(f"{key}: there is no such row")
+        return self._write(key, b"", writer, take_over, True)
+
+    def _write(self, key: str, body: bytes, writer: str, take_over: bool, deleted: bool) -> Row:
+        if not self.caught_up:
+            # Guards against a writer that starts anew, and would put an old number under a new content.
+            raise RowError("not compared with a peer since the start: what is in force is not known here yet")
+        held = self._rows.get(key)
+        term, number = (held.term, held.number) if held is not None else (1, 0)
+        if held is not None and not take_over:
+            if held.writer != writer:
+                raise RowError(f"{key}: {held.writer} writes it; another has to take it over")
+            if not held.readable:
+                raise RowError(f"{key}: of a newer program (form {held.form}); it has to be taken over")
+        row = Row(key, term + take_over, number + 1, writer, body, deleted)
+        told = self.take(row)
+        if told is not Taken.NEW:
+            raise RowError(f"{key}: {self._why(told, row)}")
+        return row
+
+    def _why(self, told: Taken, row: Row) -> str:
+        return {Taken.TOO_LONG: f"{row.size} bytes, {self.row_limit} at most",
+                Taken.TOO_MANY: f"no room: {len(self)} rows and deleted ones of {self.most_rows}, "
+                                f"{self._bytes} bytes of {self.most_bytes}",
+                Taken.UNSOUND: f"its key has 1 to {KEY_LIMIT} bytes, its writer 1 to {WRITER_LIMIT}"}[told]
+
+    def take(self, row: Row) -> Taken:
+        """Take a row where it is newer than what is held."""
+        told = self._take(row)
+        self.counts[told.value] += 1
+        return told
+
+    def _take(self, row: Row) -> Taken:
+        held = self._rows.get(row.key)
+        if held == row:
+            return Taken.SAME
+        if not row.sound():
+            return Taken.UNSOUND
+        if held is not None:
+            version, ours = (row.term, row.number), (held.term, held.number)
+            self.counts["conflicts"] += version == ours
+            # One writer a row in each term: who breaks this is counted, and ranked like any other, as whoever
+            # came first would otherwise stand here and not there.
+            self.counts["writers"] += row.term == held.term and row.writer != held.writer
+            if rank(row) < rank(held):
+                return Taken.CONFLICT if version == ours else Taken.OLD
+        size = row.size
+        if size > self.row_limit:
+            return Taken.TOO_LONG
+        more = size - (held.size if held is not None else 0)
+        if ((held is None and len(self) >= self.most_rows)
+                or (more > 0 and self._bytes + more > self.most_bytes)):
+            return Taken.TOO_MANY
+        self._rows[row.key] = row
+        self._bytes += more
+        self.number += 1
+        self.tree.put(row.key, row.content)
+        return Taken.NEW
