--- a/pipitshed/replication/digests.py
+++ b/pipitshed/replication/digests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import random
 from bisect import bisect_left, insort
 from collections.abc import Iterator
 
@@ -11,7 +12,7 @@
 ROOT = 1  # a range's number; its parts are 16 times that, and up
 _BITS = 64
 _MASK = (1 << _BITS) - 1
-MARK = 8  # bytes by which an item is told: half of its place, half of its hash
+MARK = 2  # bytes by which an item is told
 
 
 def hashed(data: bytes) -> int:
@@ -73,6 +74,10 @@
         """The sum of a range, and how many items it has."""
         return self._nodes.get(node, (0, 0))
 
+    def sample(self, rng: random.Random, most: int) -> list[str]:
+        """Some keys."""
+        return [key for _, key in rng.sample(self._places, min(most, len(self._places)))]
+
     def keys(self, node: int) -> Iterator[str]:
         """The keys in a range, in order of their places."""
         shift = _BITS - 4 * depth(node)
@@ -83,16 +88,10 @@
                 return
             yield key
 
-    def mark(self, key: str) -> bytes:
-        """What tells an item, and this content of it, in a few bytes."""
-        place, content = self._items[key]
-        return (place >> 32).to_bytes(4, "big") + (content >> 32).to_bytes(4, "big")
-
-    def marked(self, mark: bytes) -> Iterator[str]:
-        """The keys whose place begins as a mark's does; nearly always one, or none."""
-        first = int.from_bytes(mark[:4], "big") << 32
-        for place in range(bisect_left(self._places, (first, "")), len(self._places)):
-            where, key = self._places[place]
-            if where >> 32 != first >> 32:
-                return
-            yield key
+    def marks(self, node: int, salt: int) -> Iterator[tuple[int, str]]:
+        """16 bits for each item of a range that is in the digests, and its key. A salt draws them, so that
+        two contents with one mark differ under the next."""
+        for key in self.keys(node):
+            place, content = self._items[key]
+            if content:
+                yield ((place ^ content) * (salt | 1) & _MASK) >> (_BITS - 8 * MARK), key
--- a/pipitshed/replication/rows.py
+++ b/pipitshed/replication/rows.py
@@ -5,55 +5,13 @@
 
 import enum
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
-import msgspec
+from pipitshed.replication.digests import Tree
+from pipitshed.replication.messages import Rows
+from pipitshed.replication.row import FORM, KEY_LIMIT, WRITER_LIMIT, Row, rank
 
-from pipitshed.replication.digests import Tree, hashed
-
-FORM = 1  # of the rows that this program writes and reads
-KEY_LIMIT = 128  # bytes
-WRITER_LIMIT = 64  # bytes
-_encoder = msgspec.msgpack.Encoder()
-
-
-class Row(msgspec.Struct, frozen=True, array_like=True):
-    """One row. Its version is (term, number): its one writer raises the number, a take-over by another writer
-    raises the term. A form above `FORM` is from a newer program: kept and passed on unread."""
-
-    key: str
-    term: int
-    number: int
-    writer: str
-    body: bytes
-    deleted: bool = False
-    form: int = FORM
-
-    @property
-    def readable(self) -> bool:
-        """Whether this program knows what the body means."""
-        return self.form <= FORM
-
-    @property
-    def size(self) -> int:
-        """Bytes that it takes in a message."""
-        return len(_encoder.encode(self))
-
-    @property
-    def content(self) -> int:
-        """A hash of all of it."""
-        return hashed(_encoder.encode(self))
-
-    def sound(self) -> bool:
-        """Whether it has the form of a row; what strangers send is held against it."""
-        return (0 < len(self.key.encode()) <= KEY_LIMIT and 0 < len(self.writer.encode()) <= WRITER_LIMIT
-                and 0 < self.term < 2**32 and 0 < self.number < 2**62 and 0 < self.form < 2**16)
-
-
-def rank(row: Row) -> tuple[int, int, bool, int]:
-    """What is newer has the higher rank. A total order: of two contents under one number the same one stands
-    everywhere."""
-    return row.term, row.number, row.deleted, row.content
+__all__ = ["FORM", "Row", "RowError", "RowTable", "Taken"]
 
 
 class Taken(enum.Enum):
@@ -103,6 +61,11 @@
         """8 bytes, equal where two tables hold the same."""
         return self.tree.digest()
 
+    def told(self, table: int, rows: Sequence[Row], ranges: tuple[int, ...] = (), salt: int = 0,
+             wants: bytes = b"", whole: bool = True) -> Rows:
+        """The message that tells these, as repair makes it."""
+        return Rows(table, tuple(rows), ranges, salt, wants, whole)
+
     def put(self, key: str, body: bytes, writer: str, take_over: bool = False) -> Row:
         """Write a row; RowError where it can't be. Its number comes from the row held, never from a clock."""
         return self._write(key, body, writer, take_over, False)
@@ -151,10 +114,12 @@
             return Taken.UNSOUND
         if held is not None:
             version, ours = (row.term, row.number), (held.term, held.number)
-            self.counts["conflicts"] += version == ours
-            # One writer a row in each term: who breaks this is counted, and ranked like any other, as whoever
-            # came first would otherwise stand here and not there.
-            self.counts["writers"] += row.term == held.term and row.writer != held.writer
+            if version == ours:
+                self.counts["conflicts"] += 1
+            if row.term == held.term and row.writer != held.writer:
+                # One writer a row in each term: who breaks this is counted, and ranked like any other, as
+                # whoever came first would otherwise stand here and not there.
+                self.counts["writers"] += 1
             if rank(row) < rank(held):
                 return Taken.CONFLICT if version == ours else Taken.OLD
         size = row.size
