--- a/pipitshed/lab/virtual_view.py
+++ b/pipitshed/lab/virtual_view.py
@@ -10,12 +10,17 @@
 from heapq import heappop, heappush
 from itertools import count
 
+from pipitshed.membership.effects import Displaced, Effect, News, RowNews, Tell
 from pipitshed.membership.members import Address, State, Word
-from pipitshed.membership.messages import Message, Sync
-from pipitshed.membership.protocol import Displaced, Effect, Membership, News, Tell
+from pipitshed.membership.messages import Message
+from pipitshed.membership.protocol import Membership
 from pipitshed.membership.timing import Scales
+from pipitshed.replication.carrier import message_size
+from pipitshed.replication.row import Row
+from pipitshed.replication.rows import RowTable
 
 ZONES = ("one", "two", "three")
+ENVELOPE = 22  # bytes that `peers.codec` puts around a message of a cluster with the usual name
 
 
 @dataclass
@@ -25,6 +30,7 @@
     name: str
     address: Address
     membership: Membership
+    tables: tuple[RowTable, ...] = ()
     alarm: int = -1  # the wake that counts; earlier ones are void
     stopped_until: float = 0.0  # its loop stands still until then; what comes is read after that
     backlog: list[tuple[Message, Address]] = field(default_factory=list)
@@ -34,17 +40,22 @@
     """Nodes, what is on its way between them, and what cuts them off. Times are seconds."""
 
     def __init__(self, seed: int, scales: Scales | None = None, loss: float = 0.0,
-                 delay: tuple[float, float] = (0.0005, 0.010)) -> None:
+                 delay: tuple[float, float] = (0.0005, 0.010), tables: tuple[str, ...] = (),
+                 zones: tuple[str, ...] = ZONES) -> None:
+        """Each process carries a table of each of the names `tables`."""
         self.rng = random.Random(seed)
         self.scales = scales or Scales()
         self.loss, self.delay = loss, delay
+        self.tables, self.zones = tables, zones
         self.now = 0.0
         self.nodes: dict[Address, Node] = {}
         self.timers_first = False  # a loop that wakes runs its timers before it reads its sockets
         self.cut: Callable[[Address, Address], bool] = lambda source, target: False
         self.news: list[tuple[float, str, News]] = []
+        self.row_news: list[tuple[float, str, Row]] = []
         self.displaced: list[str] = []
         self.sent: Counter[str] = Counter()
+        self.bytes_out: Counter[tuple[str, int]] = Counter()  # by name and whole second
         self._events: list[tuple[float, int, Address, int, Message | None, Address]] = []
         self._order = count()
         self._log = hashlib.blake2b(digest_size=16)
@@ -56,11 +67,12 @@
         address = ("127.0.0.1", 10_000 + number)
         incarnation = int((1_000_000 + self.now + clock) * 1000)
         name = name or f"n{number}"
-        me = Word(name, *address, ZONES[number % len(ZONES)], incarnation, self.rng.randrange(2**32),
-                  said_by=name)
+        me = Word(name, *address, self.zones[number % len(self.zones)], incarnation,
+                  self.rng.randrange(2**32), said_by=name)
+        tables = tuple(RowTable(table) for table in self.tables)
         membership = Membership(me, self.scales, [("127.0.0.1", 10_000 + seed) for seed in seeds],
-                                random.Random(self.rng.randrange(2**62)), self.now)
-        node = self.nodes[address] = Node(name, address, membership)
+                                random.Random(self.rng.randrange(2**62)), self.now, tables)
+        node = self.nodes[address] = Node(name, address, membership, tables)
         self._wake(node)
         return node
 
@@ -78,6 +90,12 @@
         self._carry_out(node, node.membership.leave(self.now))
         self.kill(node)
 
+    def put(self, node: Node, *rows: tuple[str, bytes], table: int = 0) -> None:
+        """Put rows into one of its tables."""
+        put = [node.tables[table].put(key, body, node.name) for key, body in rows]
+        self._carry_out(node, node.membership.spread(self.now, node.tables[table].name, put))
+        self._wake(node)
+
     def stop(self, node: Node, seconds: float) -> None:
         """Its loop stands still: the kernel takes what comes, and nothing is read or sent until later."""
         node.stopped_until = self.now + seconds
@@ -154,15 +172,15 @@
                 self.news.append((self.now, node.name, effect))
                 line = f"{self.now:.6f} {node.name} {effect.word.name} {effect.word.state}\n"
                 self._log.update(line.encode())
+            elif isinstance(effect, RowNews):
+                self.row_news += [(self.now, node.name, row) for row in effect.rows]
             elif isinstance(effect, Displaced):
                 self.displaced.append(node.name)
 
     def _send(self, node: Node, to: Address, message: Message) -> None:
         self.sent[node.name] += 1
-        whole = isinstance(message, Sync)  # goes over a stream: what is lost is sent again
-        if self.cut(node.address, to) or (not whole and self.rng.random() < self.loss):
+        self.bytes_out[node.name, int(self.now)] += message_size(message) + ENVELOPE
+        if self.cut(node.address, to) or self.rng.random() < self.loss:
             return
-        if whole and self.cut(to, node.address):
-            return  # a stream never comes up where one way is cut
         when = self.now + self.rng.uniform(*self.delay)
         heappush(self._events, (when, next(self._order), to, 0, message, node.address))
--- a/pipitshed/membership/members.py
+++ b/pipitshed/membership/members.py
@@ -6,8 +6,10 @@
 
 import msgspec
 
+from pipitshed.replication.digests import hashed
+
 NAME_LIMIT = 64  # bytes of a name or a zone
-_FRAME = 32  # bytes of a word beside its texts, at the most
+_encoder = msgspec.msgpack.Encoder()
 Address = tuple[str, int]
 
 
@@ -32,6 +34,7 @@
     life: int
     state: State = State.ALIVE
     said_by: str = ""
+    region: str = ""  # its zone's part before the first "/" where it is empty
 
     @property
     def address(self) -> Address:
@@ -45,12 +48,27 @@
 
     @property
     def size(self) -> int:
-        """Bytes that it takes in a message, at the most."""
-        return _FRAME + sum(len(text.encode()) for text in (self.name, self.zone, self.host, self.said_by))
+        """Bytes that it takes in a message."""
+        return len(_encoder.encode(self))
+
+    @property
+    def key(self) -> str:
+        """Of whom it is: a newer word takes its place."""
+        return self.name
+
+    @property
+    def content(self) -> int:
+        """A hash of what two views must hold alike of one that lives; 0, so nothing, of one that is gone.
+        That it is suspected is no part of it, as suspicions come and go by themselves; the refutation that
+        ends one, or a death, is."""
+        if self.gone:
+            return 0
+        return hashed(f"{self.name}\0{self.host}\0{self.port}\0{self.zone}\0{self.region}\0{self.life}\0"
+                      f"{self.incarnation}".encode())
 
     def sound(self) -> bool:
         """Whether it has the form of a word; what strangers send is held against it."""
-        texts = (self.name, self.zone, self.host, self.said_by)
+        texts = (self.name, self.zone, self.host, self.said_by, self.region)
         return (bool(self.name and self.host)
                 and all(len(text) <= NAME_LIMIT // 4 or len(text.encode()) <= NAME_LIMIT for text in texts)
                 and 0 < self.port < 65536 and 0 <= self.incarnation < 2**62 and 0 <= self.life < 2**32)
--- a/pipitshed/membership/messages.py
+++ b/pipitshed/membership/messages.py
@@ -5,28 +5,34 @@
 import msgspec
 
 from pipitshed.membership.members import Word
+from pipitshed.replication.messages import Compare, Items, Rows
+from pipitshed.replication.row import Row
 
 ROOM = 700  # bytes of rumours on one datagram, so that it stays under a network's usual 1,400
+Fresh = tuple[tuple[Row, ...], ...]  # by table
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Are you there? `target` is who is meant: one that hears it under another name doesn't answer. `digest`
-    is of the sender's view."""
+    """Are you there? `target` is who is meant: one that hears it under another name doesn't answer. `digests`
+    are of the sender's view and then of its tables; empty for one that it has not caught up with."""
 
     number: int
     sender: Word
     target: str
     rumours: tuple[Word, ...] = ()
-    digest: str = ""
+    digests: tuple[bytes, ...] = ()
+    rows: Fresh = ()
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """I am here; also passed on by a helper, for the one that it helped. `digest` is of the sender's view."""
+    """I am here; also passed on by a helper, for the one that it helped. `digests` as in
+    a ping."""
 
     number: int
     sender: Word
     rumours: tuple[Word, ...] = ()
-    digest: str = ""
+    digests: tuple[bytes, ...] = ()
+    rows: Fresh = ()
 
 
 class Help(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -46,12 +52,22 @@
     rumours: tuple[Word, ...] = ()
 
 
-class Sync(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """All that the sender holds; goes over a stream. `answer` wants all that the receiver holds in return."""
+class Words(msgspec.Struct, frozen=True, array_like=True, tag=23):
+    """Words that the other lacked; in answer to `Items` for its ranges. As `Rows`, of the view."""
 
-    sender: Word
-    answer: bool
-    words: tuple[Word, ...] = ()
+    table: int
+    words: tuple[Word, ...]
+    ranges: tuple[int, ...] = ()
+    salt: int = 0
+    wants: bytes = b""
+    whole: bool = True
+
+
+class Exchange(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """A part of a repair. Its sender is told where the other may not know it yet."""
+
+    part: Compare | Items | Rows | Words
+    sender: Word | None = None
 
 
-Message = Ping | Ack | Help | Nack | Sync
+Message = Ping | Ack | Help | Nack | Exchange
--- a/pipitshed/membership/protocol.py
+++ b/pipitshed/membership/protocol.py
@@ -1,47 +1,30 @@
-"""The protocol of one scheduler: messages and times in, messages and news out."""
+"""The protocol of one scheduler: messages and times in, messages and news out. Its view is the first of the
+tables that are carried."""
 
 from __future__ import annotations
 
 import math
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 from itertools import count
 
+from pipitshed.membership.effects import Displaced, Effect, News, RowNews, Tell
 from pipitshed.membership.members import Address, State, Word, rank
-from pipitshed.membership.messages import ROOM, Ack, Help, Message, Nack, Ping, Sync
-from pipitshed.membership.rumours import Rumours
+from pipitshed.membership.messages import ROOM, Ack, Exchange, Fresh, Help, Message, Nack, Ping, Words
 from pipitshed.membership.timing import Health, Scales, suspicion_lasts
 from pipitshed.membership.view import View
+from pipitshed.replication.carrier import FRAME, Carrier, message_size
+from pipitshed.replication.messages import Compare, Items
+from pipitshed.replication.repair import Out
+from pipitshed.replication.row import Row
+from pipitshed.replication.rows import RowTable, Taken
 
-
-ANYWAY = 0.1  # part of the full exchanges that are held though all told the same view
-
-
-@dataclass(frozen=True, slots=True)
-class Tell:
-    """Send a message."""
-
-    to: Address
-    message: Message
-
-
-@dataclass(frozen=True, slots=True)
-class News:
-    """A member's state has changed in this view, from what was held before (None: it was unknown)."""
-
-    word: Word
-    before: State | None
-
-
-@dataclass(frozen=True, slots=True)
-class Displaced:
-    """Another process holds this one's name, and came later."""
-
-    by: Word
-
-
-Effect = Tell | News | Displaced
+ANYWAY = 0.1  # of the times for repair, part at which a range is compared whatever the digests are
+ALONE = 0.3  # of the time between repairs, where nobody is known yet: as a seed may be asked by very many
+ASKED_LATELY = 1.0  # s in which one that told another view, so that it lives, is not probed again
+VIEW = 0  # the view's place among the tables
 
 
 @dataclass(slots=True)
@@ -68,17 +51,19 @@
     """One scheduler's part. Times are seconds of any clock that only goes forward."""
 
     def __init__(self, me: Word, scales: Scales, seeds: list[Address], rng: random.Random,
-                 now: float) -> None:
+                 now: float, tables: Sequence[RowTable] = ()) -> None:
         self.me = me
         self.scales = scales
         self.view = View(scales.tombstones)
         self.health = Health()
-        self.rumours = Rumours()
+        self.tables = tuple(tables)
         self.displaced = False
         self.leaving = False
-        self.heard_views: dict[str, str] = {}  # the digest that each one's last answer told of its view
         self._seeds = [seed for seed in seeds if seed != me.address]
         self._rng = rng
+        self.carrier = Carrier((self.view, *tables), rng, now, self._seeds)
+        self._fresh: list[list[Row]] = [[] for _ in tables]  # rows to be told as news
+        self._repair_due = math.inf  # when the alarm for exchanges that is set comes
         self._numbers = count(rng.randrange(1 << 30))
         self._probes: dict[int, _Probe] = {}
         self._suspicions: dict[str, _Suspicion] = {}
@@ -87,7 +72,7 @@
         self._judge_at = math.inf  # the next judgement that is due
         self._effects: list[Effect] = []
         self.view.take(now, me)
-        self.rumours.add(me)
+        self.carrier.tell(VIEW, me)
         # Spread over a period, as many may start at once.
         self._at(now + rng.random() * scales.period, "probe")
         self._at(now, "sync")
@@ -112,16 +97,20 @@
             elif what == "close":
                 self._close(now, number)
             elif what == "no":
-                self._say_no(number)
+                self._say_no(now, number)
             elif what == "sync":
-                self._at(now + self.scales.sync * (0.5 + self._rng.random()), "sync")
-                self._sync()
+                sooner = 1.0 if self.view.alive > 1 else ALONE
+                self._at(now + self.scales.sync * (0.5 + self._rng.random()) * sooner, "sync")
+                self._sync(now)
             elif what == "gone":
                 self._at(now + self.scales.sync_with_gone * (0.5 + self._rng.random()), "gone")
-                self._reach_the_gone()
+                self._reach_the_gone(now)
+            elif what == "repair":
+                self._repair_due = math.inf
+                self._send(now, self.carrier.tick(now))
             else:
                 self._judge(now)
-        return self._out()
+        return self._out(now)
 
     def _late(self, now: float) -> None:
         """Put off all judgement where this scheduler's own loop stood still. Guards against one that was
@@ -131,6 +120,7 @@
         if late <= self.scales.period:
             return
         self.health.unwell(2)
+        self.carrier.repair.forget()
         for suspicion in self._suspicions.values():
             suspicion.since += late
         again = now + self.scales.ack_within * self.health.stretch
@@ -140,62 +130,83 @@
 
     def hear(self, now: float, message: Message, source: Address) -> list[Effect]:
         """Take a message that came from `source`."""
+        if isinstance(message, Exchange):
+            self._exchange(now, message, source)
+            return self._out(now)
         sender = message.sender
-        words = message.words if isinstance(message, Sync) else message.rumours
-        for word in (sender, *words):
+        for word in (sender, *message.rumours):
             if word.sound():
                 self._take(now, word)
         if isinstance(message, Ping):
-            self._heard_view(sender.name, message.digest)
+            self._take_fresh(now, message.rows)
+            self._heard_digests(now, sender, message.digests)
             if message.target == self.me.name and not self.leaving:
-                self._tell(source, Ack(message.number, self.me, self._words(sender), self.view.digest()))
+                self._ack(now, source, message)
         elif isinstance(message, Help):
             self._help(now, message, source)
         elif isinstance(message, Ack):
-            self._acked(message)
-        elif isinstance(message, Nack):
-            if (probe := self._probes.get(message.number)) is not None:
-                probe.noes += 1
-        elif message.answer:
-            self._tell(source, Sync(self.me, False, tuple(self.view)))
-        return self._out()
+            self._take_fresh(now, message.rows)
+            self._acked(now, message)
+        elif (probe := self._probes.get(message.number)) is not None:
+            probe.noes += 1
+        return self._out(now)
+
+    def spread(self, now: float, table: str, rows: Sequence[Row]) -> list[Effect]:
+        """Pass on rows that were put into a table here; they are news here too."""
+        [place] = [place for place, one in enumerate(self.tables) if one.name == table]
+        for row in rows:
+            self._fresh[place].append(row)
+            self.carrier.tell(VIEW + 1 + place, row)
+        return self._out(now)
+
+    def told(self, table: str) -> dict[str, bytes]:
+        """The digest of a table that each peer told last; empty where it has not caught up."""
+        [place] = [place for place, one in enumerate(self.tables, VIEW + 1) if one.name == table]
+        return {name: digests[place] for name, digests in self.carrier.heard.items() if len(digests) > place}
 
     def leave(self, now: float) -> list[Effect]:
         """Say that this scheduler goes, to as many as pass it on."""
         self.leaving = True
         self.me = self._word(State.LEFT)
         self.view.take(now, self.me)
-        self.rumours.add(self.me)
-        self._say_goodbye()
-        return self._out()
+        self.carrier.tell(VIEW, self.me)
+        self._say_goodbye(now)
+        return self._out(now)
 
-    def _say_goodbye(self) -> None:
+    def _say_goodbye(self, now: float) -> None:
         others = [word for word in self.view.living() if word.name != self.me.name]
         for word in self._rng.sample(others, min(len(others), 1 + self.scales.helpers)):
-            self._ping(word, next(self._numbers))
+            self._ping(now, word, next(self._numbers))
 
     # ---- probes
 
     def _probe(self, now: float) -> None:
         """Probe the next of a round in which each comes once, in an order drawn anew (SWIM, section 4.3)."""
         for name in self.view.bury(now):
-            self.heard_views.pop(name, None)
+            self.carrier.heard.pop(name, None)
         if self.leaving:
-            self._say_goodbye()  # as long as the process still lives: what it says may be lost
+            self._say_goodbye(now)  # as long as the process still lives: what it says may be lost
             return
         target = self._next()
-        if target is None:
+        # Whoever knows few members, as it has just begun, does not ask these all the time: a whole fleet that
+        # begins may know the same few.
+        if target is None or now - self.carrier.differed(VIEW, target.address) < ASKED_LATELY:
             return
         number = next(self._numbers)
         self._probes[number] = _Probe(target)
         stretch = self.health.stretch
         self._at(now + self.scales.ack_within * stretch, "ask", number)
         self._at(now + self.scales.period * stretch, "close", number)
-        self._ping(target, number)
+        self._ping(now, target, number)
+
+    def _ping(self, now: float, target: Word, number: int) -> None:
+        words, rows, spent = self._news_for(now, target)
+        self._tell(now, target.address,
+                   Ping(number, self.me, target.name, words, self.carrier.digests(), rows), spent)
 
-    def _ping(self, target: Word, number: int) -> None:
-        self._tell(target.address, Ping(number, self.me, target.name, self._words(target),
-                                        self.view.digest()))
+    def _ack(self, now: float, to: Address, ping: Ping) -> None:
+        words, rows, spent = self._news_for(now, ping.sender, (ping.rumours, *ping.rows))
+        self._tell(now, to, Ack(ping.number, self.me, words, self.carrier.digests(), rows), spent)
 
     def _next(self) -> Word | None:
         for fresh in (False, True):
@@ -208,14 +219,19 @@
                     return word
         return None
 
-    def _words(self, to: Word) -> tuple[Word, ...]:
-        """Rumours for one message. What is held against its receiver goes first, so that it can refute at
-        once (Lifeguard's buddy)."""
+    def _news_for(self, now: float, to: Word,
+                  but: Sequence[Sequence[Word | Row]] = ()) -> tuple[tuple[Word, ...], Fresh, int]:
+        """Words and rows for one message, and the bytes of these that are paid for. What is held against its
+        receiver goes first, so that it can refute at once (Lifeguard's buddy). Suspicions are in no digest:
+        while there are any, words go to one with the same view too."""
         held = self.view.get(to.name)
-        if held is None or held.state is State.ALIVE:
-            return self.rumours.take(ROOM, len(self.view))
-        words = self.rumours.take(ROOM - held.size, len(self.view))
-        return words if held in words else (held, *words)
+        against = held if held is not None and held.state is not State.ALIVE else None
+        room = ROOM - (against.size if against is not None else 0)
+        (words, *rows), spent = self.carrier.take(now, room, to.name, len(self.view),
+                                                  VIEW if self._suspicions else -1, but)
+        if against is not None and against not in words:
+            words = (against, *words)
+        return words, tuple(rows) if any(rows) else (), spent
 
     def _ask_for_help(self, now: float, number: int) -> None:
         probe = self._probes.get(number)
@@ -225,7 +241,8 @@
                   if word.name not in (self.me.name, probe.target.name) and word.state is State.ALIVE]
         for word in self._rng.sample(others, min(len(others), self.scales.helpers)):
             probe.helpers += 1
-            self._tell(word.address, Help(number, self.me, probe.target, self._words(word)))
+            words, _, spent = self._news_for(now, word)
+            self._tell(now, word.address, Help(number, self.me, probe.target, words), spent)
 
     def _help(self, now: float, message: Help, source: Address) -> None:
         if self.leaving or not message.target.sound():
@@ -234,23 +251,25 @@
         self._probes[number] = _Probe(message.target, message.sender, message.number)
         self._at(now + self.scales.ack_within * 0.8, "no", number)
         self._at(now + self.scales.period, "close", number)
-        self._ping(message.target, number)
+        self._ping(now, message.target, number)
 
-    def _say_no(self, number: int) -> None:
+    def _say_no(self, now: float, number: int) -> None:
         probe = self._probes.get(number)
         if probe is not None and probe.asked_by is not None:
-            self._tell(probe.asked_by.address, Nack(probe.their_number, self.me, self._words(probe.asked_by)))
+            words, _, spent = self._news_for(now, probe.asked_by)
+            self._tell(now, probe.asked_by.address, Nack(probe.their_number, self.me, words), spent)
 
-    def _acked(self, message: Ack) -> None:
+    def _acked(self, now: float, message: Ack) -> None:
         probe = self._probes.get(message.number)
         if probe is None or message.sender.name != probe.target.name:
             return
         del self._probes[message.number]
-        self._heard_view(message.sender.name, message.digest)
+        self._heard_digests(now, message.sender, message.digests)
         if probe.asked_by is None:
             self.health.well()
         else:
-            self._tell(probe.asked_by.address, Ack(probe.their_number, message.sender, (), message.digest))
+            self._tell(now, probe.asked_by.address,
+                       Ack(probe.their_number, message.sender, (), message.digests))
 
     def _close(self, now: float, number: int) -> None:
         """The time of a probe is over and nothing came."""
@@ -263,16 +282,12 @@
         if held is not None and held.state in (State.ALIVE, State.SUSPECT) and held.life == probe.target.life:
             self._take(now, _said(held, State.SUSPECT, self.me.name))
 
-    def _heard_view(self, name: str, digest: str) -> None:
-        if name in self.view:
-            self.heard_views[name] = digest
-
     # ---- what is held of members
 
     def _word(self, state: State) -> Word:
         return _said(self.me, state, self.me.name)
 
-    def _take(self, now: float, word: Word) -> None:
+    def _take(self, now: float, word: Word, repaired: bool = False) -> None:
         """Take a word, refute it where it is wrong about oneself, and pass it on where it was new."""
         if word.name == self.me.name:
             self._of_me(now, word)
@@ -283,12 +298,15 @@
             suspicion = self._suspicions.get(word.name)
             if suspicion is not None and word.said_by not in suspicion.said_by:
                 suspicion.said_by.add(word.said_by)
-                self.rumours.add(word)
+                self.carrier.tell(VIEW, word)
                 self._judge_by(self._ends(suspicion))
             return
         if not self.view.take(now, word):
             return
-        self.rumours.add(word)
+        if repaired:
+            self.carrier.tell_repaired(now, VIEW, word, len(self.view))
+        else:
+            self.carrier.tell(VIEW, word)
         if word.state is State.SUSPECT:
             suspicion = self._suspicions[word.name] = _Suspicion(word, now, {word.said_by})
             self._judge_by(self._ends(suspicion))
@@ -315,9 +333,10 @@
     def _refute(self, now: float, word: Word) -> None:
         """Say that one lives, by a word that beats the rumour wherever they meet."""
         me = self.me
-        self.me = Word(me.name, me.host, me.port, me.zone, word.incarnation + 1, me.life, said_by=me.name)
+        self.me = Word(me.name, me.host, me.port, me.zone, word.incarnation + 1, me.life, said_by=me.name,
+                       region=me.region)
         self.view.take(now, self.me)
-        self.rumours.add(self.me)
+        self.carrier.tell(VIEW, self.me)
 
     def _ends(self, suspicion: _Suspicion) -> float:
         return suspicion.since + suspicion_lasts(self.scales, self.view.alive, len(suspicion.said_by) - 1)
@@ -344,44 +363,125 @@
         if self._suspicions:
             self._judge_by(min(self._ends(suspicion) for suspicion in self._suspicions.values()))
 
-    # ---- full exchanges
-
-    def _sync(self) -> None:
-        """Exchange all with one that is alive and last told of another view, or with a seed while nobody is
-        known. Where all told the same view, one exchange in so many goes to anyone, in case what was told is
-        old; so what is sent does not grow with a fleet that agrees."""
-        digest, others, differ = self.view.digest(), [], []
-        for word in self.view:
-            if not word.gone and word.name != self.me.name:
-                others.append(word.address)
-                if self.heard_views.get(word.name, digest) != digest:
-                    differ.append(word.address)
-        known = differ or (others if self._rng.random() < ANYWAY else []) if others else self._seeds
-        if known and not self.leaving:
-            self._tell(self._rng.choice(known), Sync(self.me, True, tuple(self.view)))
-
-    def _reach_the_gone(self) -> None:
-        """Exchange with one that is held dead, or a seed that nobody lives at. Guards against two halves of a
+    # ---- rows, digests and repair
+
+    def _take_fresh(self, now: float, fresh: Fresh) -> None:
+        for place, rows in enumerate(fresh[:len(self.tables)]):
+            self._take_rows(now, place, rows, False)
+
+    def _take_rows(self, now: float, place: int, rows: Sequence[Row],
+                   repaired: bool) -> tuple[int, list[str]]:
+        """Take rows into a table; how many are new, and the keys of those of which a newer one is held."""
+        gained, newer = 0, []
+        for row in rows:
+            taken = self.tables[place].take(row)
+            if taken is Taken.NEW:
+                gained += 1
+                self._fresh[place].append(row)
+                if repaired:
+                    self.carrier.tell_repaired(now, VIEW + 1 + place, row, len(self.view))
+                else:
+                    self.carrier.tell(VIEW + 1 + place, row)
+            elif taken in (Taken.OLD, Taken.CONFLICT):
+                newer.append(row.key)
+        return gained, newer
+
+    def _take_words(self, now: float, words: Sequence[Word]) -> tuple[int, list[str]]:
+        gained, newer = 0, []
+        for word in words:
+            if not word.sound():
+                continue
+            number = self.view.number
+            self._take(now, word, True)
+            held = self.view.get(word.name)
+            gained += self.view.number != number
+            if held is not None and rank(held) > rank(word):
+                newer.append(word.name)
+        return gained, newer
+
+    def _heard_digests(self, now: float, sender: Word, digests: tuple[bytes, ...]) -> None:
+        if sender.name in self.view and sender.name != self.me.name:
+            out = self.carrier.hear(now, sender.name, sender.address, digests)
+            if not (self.leaving or self.displaced):
+                self._send(now, out)
+
+    def _exchange(self, now: float, message: Exchange, source: Address) -> None:
+        part = message.part
+        if message.sender is not None and message.sender.sound():
+            self._take(now, message.sender)
+        if isinstance(part, Compare | Items):
+            self._send(now, self.carrier.answer(now, source, part, self._others))
+            return
+        if isinstance(part, Words):
+            if part.table != VIEW:
+                return
+            gained, newer = self._take_words(now, part.words)
+        elif 0 <= (place := part.table - VIEW - 1) < len(self.tables):
+            gained, newer = self._take_rows(now, place, part.rows, True)
+        else:
+            return
+        self._send(now, self.carrier.taken(now, source, part, gained, newer, self._others))
+
+    def _others(self) -> list[Address]:
+        """Some that live."""
+        others = [word.address for word in self.view if not word.gone and word.name != self.me.name]
+        return self._rng.sample(others, min(len(others), self.scales.helpers))
+
+    def _sync(self, now: float) -> None:
+        """Repair with one that lately told another digest, or with a seed while nobody is known. At times a
+        range is compared though all agree, in case their digests hide something."""
+        if self.leaving or self.displaced:
+            return
+        if self.view.alive > 1:
+            for place in range(len(self.carrier.tables)):
+                self._send(now, self.carrier.consider(now, place, True, self._others))
+            if self._rng.random() < ANYWAY and (others := self._others()):
+                self._send(now, self.carrier.look(now, others[0]))
+        elif self._seeds:
+            seed = self._rng.choice(self._seeds)
+            for place in range(len(self.carrier.tables)):
+                self._send(now, self.carrier.ask(now, place, seed))
+
+    def _reach_the_gone(self, now: float) -> None:
+        """Repair with one that is held dead, or a seed that nobody lives at. Guards against two halves of a
         fleet that hold each other dead for good once what was cut is whole."""
         held = {word.address for word in self.view.living()}
         dead = [word.address for word in self.view if word.state is State.DEAD]
         gone = sorted({*dead, *self._seeds} - held)
         if gone and not self.leaving:
-            self._tell(self._rng.choice(gone), Sync(self.me, True, tuple(self.view)))
+            self._send(now, self.carrier.ask(now, VIEW, self._rng.choice(gone)))
 
     # ---- out
 
     def _at(self, when: float, what: str, number: int = 0) -> None:
         heappush(self._due, (when, next(self._numbers), what, number))
 
-    def _tell(self, to: Address, message: Message) -> None:
+    def _tell(self, now: float, to: Address, message: Message, paid: int = 0) -> None:
+        """Send a message that goes whatever the budget has left; so many of its bytes are paid for."""
+        self.carrier.budget.charge(now, FRAME // 2 + message_size(message) - paid)
         self._effects.append(Tell(to, message))
 
-    def _out(self) -> list[Effect]:
+    def _send(self, now: float, out: Sequence[Out]) -> None:
+        """Send parts of repairs, which the budget has let through."""
+        for one in out:
+            asks = isinstance(one.message, Compare) and one.message.answer
+            self._effects.append(Tell(one.to, Exchange(one.message, self.me if asks else None)))
+
+    def _out(self, now: float) -> list[Effect]:
+        self.carrier.settle(now)
+        due = self.carrier.repair.due()
+        if due is not None and due < self._repair_due:
+            self._repair_due = due
+            self._at(due, "repair")
+        for table, fresh in zip(self.tables, self._fresh, strict=True):
+            if fresh:
+                self._effects.append(RowNews(table.name, tuple(fresh)))
+                fresh.clear()
         effects, self._effects = self._effects, []
         return effects
 
 
 def _said(word: Word, state: State, by: str) -> Word:
     """The same word with another state, as said by someone."""
-    return Word(word.name, word.host, word.port, word.zone, word.incarnation, word.life, state, by)
+    return Word(word.name, word.host, word.port, word.zone, word.incarnation, word.life, state, by,
+                word.region)
--- a/pipitshed/membership/view.py
+++ b/pipitshed/membership/view.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import hashlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator, Sequence
 
 from pipitshed.membership.members import Word, rank
+from pipitshed.membership.messages import Words
+from pipitshed.replication.digests import Tree
 
 MOST_MEMBERS = 4096  # names held at the most, whatever strangers say
 
@@ -20,7 +21,8 @@
         self._tombstones_for = tombstones_for
         self._most = most
         self.number = 0
-        self._digest: tuple[int, str] = (-1, "")  # of which number
+        self.caught_up = True  # whoever joins knows at least of itself, and says no more than it knows
+        self.tree = Tree()
         self.turned_down = 0  # words of names beyond the bound
 
     def __iter__(self) -> Iterator[Word]:
@@ -52,6 +54,7 @@
         if held is None or (held.state, held.life) != (word.state, word.life):
             self._since[word.name] = now
         self._words[word.name] = word
+        self.tree.put(word.name, word.content)
         (self._gone.add if word.gone else self._gone.discard)(word.name)
         self.number += 1
         return True
@@ -62,6 +65,7 @@
         buried = [name for name in self._gone if now - self._since[name] >= self._tombstones_for]
         for name in buried:
             del self._words[name], self._since[name]
+            self.tree.drop(name)
             self._gone.discard(name)
             self.number += 1
         return buried
@@ -76,16 +80,10 @@
         return sorted((word for word in self if not word.gone), key=lambda word: word.name)
 
     def digest(self) -> str:
-        """A hash of who lives and at which address: equal where two schedulers agree. Suspicions, which come
-        and go, and tombstones, which end at each one's own time, are no part of it."""
-        if self._digest[0] != self.number:
-            self._digest = self.number, digest(self.living())
-        return self._digest[1]
-
-
-def digest(words: Iterable[Word]) -> str:
-    """The hash of these members, given by name."""
-    told = hashlib.blake2b(digest_size=8)
-    for word in words:
-        told.update(f"{word.name}\0{word.host}\0{word.port}\0{word.zone}\0{word.life}\n".encode())
-    return told.hexdigest()
+        """A hash of who lives, at which address and incarnation: equal where two schedulers agree."""
+        return self.tree.digest().hex()
+
+    def told(self, table: int, words: Sequence[Word], ranges: tuple[int, ...] = (), salt: int = 0,
+             wants: bytes = b"", whole: bool = True) -> Words:
+        """The message that tells these, as repair makes it."""
+        return Words(table, tuple(words), ranges, salt, wants, whole)
--- a/pipitshed/peers/codec.py
+++ b/pipitshed/peers/codec.py
@@ -9,7 +9,7 @@
 
 from pipitshed.peers.messages import Said
 
-VERSION = 1
+VERSION = 2
 DATAGRAM_LIMIT = 1400  # bytes; what is longer goes over a stream
 FRAME_LIMIT = 1 << 20  # bytes of one message on a stream: some 10,000 members
 CHECKSUM = 8  # bytes
--- a/pipitshed/peers/fleet.py
+++ b/pipitshed/peers/fleet.py
@@ -11,9 +11,9 @@
 import time
 from collections import Counter
 
+from pipitshed.membership.effects import Displaced, Effect, News, Tell
 from pipitshed.membership.members import Address, State, Word
-from pipitshed.membership.messages import Sync
-from pipitshed.membership.protocol import Displaced, Effect, Membership, News, Tell
+from pipitshed.membership.protocol import Membership
 from pipitshed.peers.codec import DATAGRAM_LIMIT, Codec
 from pipitshed.peers.datagrams import Datagrams
 from pipitshed.peers.eventlog import EventLog
@@ -122,8 +122,8 @@
         data = self._codec.encode(tell.message)
         if self._streams.answer(tell.to, data):
             return
-        if isinstance(tell.message, Sync) or len(data) > DATAGRAM_LIMIT:
-            self._streams.ask(tell.to, data, self._peers.listen[0])
+        if len(data) > DATAGRAM_LIMIT:
+            self._count("dropped_long")
         else:
             self._datagrams.send(tell.to, data)
 
@@ -146,8 +146,7 @@
         def agrees(word: Word) -> bool | None:
             if word.name == membership.me.name:
                 return True
-            heard = membership.heard_views.get(word.name)
-            return None if heard is None or word.gone else heard == digest
+            return None if word.gone else membership.carrier.agree(word.name)
 
         rows = [Row(word.name, word.zone, f"{word.host}:{word.port}", word.state.name.lower(),
                     word.incarnation, round(now - view.since(word.name), 3), word.said_by, agrees(word))
--- a/pipitshed/peers/messages.py
+++ b/pipitshed/peers/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from pipitshed.membership.messages import Ack, Help, Nack, Ping, Sync
+from pipitshed.membership.messages import Ack, Exchange, Help, Nack, Ping
 
 
 class Show(msgspec.Struct, frozen=True, array_like=True, tag=16):
@@ -41,4 +41,4 @@
     counts: dict[str, int]  # of messages, and of what was dropped and why
 
 
-Said = Ping | Ack | Help | Nack | Sync | Show | Leave | Shown
+Said = Ping | Ack | Help | Nack | Exchange | Show | Leave | Shown
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -17,8 +17,7 @@
 
 from pipitshed.cli import main
 from pipitshed.membership.members import State, Word
-from pipitshed.membership.messages import ROOM, Ack, Ping, Sync
-from pipitshed.membership.rumours import Rumours
+from pipitshed.membership.messages import ROOM, Ack, Exchange, Ping, Words
 from pipitshed.membership.timing import Scales
 from pipitshed.peers import streams
 from pipitshed.peers.codec import DATAGRAM_LIMIT, FRAME_LIMIT, LENGTH, Codec, RefusedError
@@ -26,6 +25,7 @@
 from pipitshed.peers.file import Peers, PeersError, read
 from pipitshed.peers.fleet import Fleet
 from pipitshed.peers.messages import Show, Shown
+from pipitshed.replication.rumours import Rumours
 
 FAST = Scales(period=0.05, ack_within=0.02, sync=0.3, sync_with_gone=0.5, tombstones=30.0)
 
@@ -37,9 +37,10 @@
 
 
 @given(st.builds(Ping, st.integers(0, 2**40), words(), st.text(max_size=9), st.lists(words()).map(tuple))
-       | st.builds(Ack, st.integers(0, 2**40), words(), st.lists(words()).map(tuple), st.text(max_size=9))
-       | st.builds(Sync, words(), st.booleans(), st.lists(words()).map(tuple)))
-def test_messages_come_back_as_they_were(message: Ping | Ack | Sync) -> None:
+       | st.builds(Ack, st.integers(0, 2**40), words(), st.lists(words()).map(tuple),
+                   st.lists(st.binary(max_size=8), max_size=3).map(tuple))
+       | st.builds(Exchange, st.builds(Words, st.integers(0, 9), st.lists(words()).map(tuple)), words()))
+def test_messages_come_back_as_they_were(message: Ping | Ack | Exchange) -> None:
     codec = Codec("red", b"key")
     assert codec.decode(codec.encode(message)) == message
 
@@ -81,7 +82,7 @@
 
 
 def test_rumours_fit_a_datagram_however_long_the_names() -> None:
-    rumours = Rumours()
+    rumours: Rumours[Word] = Rumours()
     long = [Word(f"{n:064d}", "255.255.255.255", 65535, "z" * 64, 2**62 - 1, 2**32 - 1, State.DEAD, "s" * 64)
             for n in range(40)]
     for word in long:
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,446 @@
+"""Replication: what is written in one place is everywhere within seconds, whatever failed."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pipitshed.lab import virtual_view
+from pipitshed.lab.virtual_view import ENVELOPE, Network, Node
+from pipitshed.membership.members import Address
+from pipitshed.membership.messages import Exchange, Ping
+from pipitshed.peers.codec import DATAGRAM_LIMIT, Codec
+from pipitshed.replication.budget import BURST, RATE, Budget
+from pipitshed.replication.carrier import message_size
+from pipitshed.replication.digests import DEPTH, ROOT, WAYS, Tree, depth
+from pipitshed.replication.messages import Compare, Items, Rows
+from pipitshed.replication.row import FORM, Row, rank
+from pipitshed.replication.rows import RowError, RowTable, Taken
+from pipitshed.replication.rumours import Rumours, tellings
+
+WITHIN = 5.0  # s in which a change is in force everywhere
+A_SECOND = 9000  # bytes that a scheduler may send in each
+
+
+def joined(seed: int, size: int = 12, loss: float = 0.0) -> Network:
+    network = Network(seed, loss=loss, tables=("settings",))
+    network.fleet(size)
+    assert network.settle(WITHIN) is not None
+    caught_up(network)
+    return network
+
+
+def caught_up(network: Network, within: float = 15.0) -> None:
+    until(network, lambda: all(node.tables[0].caught_up for node in network.nodes.values()), within)
+
+
+def until(network: Network, what: object, within: float) -> float:
+    begun = network.now
+    while not what():  # type: ignore[operator]
+        assert network.now - begun < within
+        network.run(0.1)
+    return network.now - begun
+
+
+def nodes(network: Network) -> list[Node]:
+    return list(network.nodes.values())
+
+
+def same(network: Network) -> bool:
+    return len({node.tables[0].digest() for node in network.nodes.values()}) == 1
+
+
+def table(**bounds: int) -> RowTable:
+    one = RowTable("settings", **bounds)
+    one.caught_up = True
+    return one
+
+
+def busiest(network: Network, since: int = 0) -> int:
+    return max(size for (_, second), size in network.bytes_out.items() if second >= since)
+
+
+# ---- rows
+
+
+def rows() -> st.SearchStrategy[Row]:
+    return st.builds(Row, st.sampled_from(["a", "b"]), st.integers(1, 2), st.integers(1, 3),
+                     st.sampled_from(["v", "w"]), st.sampled_from([b"", b"1", b"2"]), st.booleans())
+
+
+@given(st.lists(rows(), max_size=10), st.randoms(use_true_random=False))
+def test_tables_join_the_same_in_any_order(told: list[Row], rng: random.Random) -> None:
+    ends = []
+    for _ in range(3):
+        one = table()
+        rng.shuffle(told)
+        for row in told + told[:2]:
+            one.take(row)
+        ends.append((one.digest(), sorted((row.key, rank(row)) for row in one)))
+    assert ends[0] == ends[1] == ends[2]
+
+
+def test_a_row_older_than_its_deletion_never_comes_back() -> None:
+    """Also from one who was away for days, longer than a member's tombstone stands."""
+    network = joined(1)
+    away = nodes(network)[5]
+    network.put(nodes(network)[2], ("quota/red", b"1"))
+    until(network, lambda: same(network) and away.tables[0].get("quota/red"), WITHIN)
+    network.cut = lambda source, target: (source == away.address) != (target == away.address)
+    network.run(30.0)
+    writer = nodes(network)[2]
+    row = writer.tables[0].delete("quota/red", writer.name)
+    network._carry_out(writer, writer.membership.spread(network.now, "settings", [row]))
+    network.run(400.0)
+    assert not away.tables[0].get("quota/red").deleted  # type: ignore[union-attr]
+    network.cut = lambda source, target: False
+    until(network, lambda: same(network), 40.0)
+    assert all(node.tables[0].get("quota/red") == row for node in nodes(network))
+
+
+def test_a_writer_that_restarts_with_its_clock_set_back_writes_the_next_number() -> None:
+    network = joined(2)
+    writer = nodes(network)[4]
+    for body in (b"1", b"2", b"3"):
+        network.put(writer, ("quota/red", body))
+    until(network, lambda: same(network), WITHIN)
+    network.kill(writer)
+    network.run(2.0)
+    writer = network.start(4, [0, 1], clock=-3600.0)
+    with pytest.raises(RowError, match="not compared"):
+        network.put(writer, ("quota/red", b"4"))
+    until(network, lambda: writer.tables[0].caught_up, WITHIN)
+    network.put(writer, ("quota/red", b"4"))
+    until(network, lambda: same(network), WITHIN)
+    held = [node.tables[0].get("quota/red") for node in nodes(network)]
+    assert {(row.number, row.body) for row in held if row is not None} == {(4, b"4")}
+
+
+def test_one_that_has_not_caught_up_is_no_measure_for_another() -> None:
+    """Two that begin at once, and hear each other first, hold the same: nothing."""
+    network = joined(3, size=6)
+    network.put(nodes(network)[2], ("quota/red", b"1"))
+    until(network, lambda: same(network), WITHIN)
+    for number in (4, 5):
+        network.kill(network.nodes["127.0.0.1", 10_000 + number])
+    network.cut = lambda source, target: (source[1] > 10_003) != (target[1] > 10_003)
+    new = [network.start(4, [5, 0]), network.start(5, [4, 0])]
+    until(network, lambda: all(node.membership.view.alive == 2 for node in new), 20.0)
+    network.run(5.0)
+    assert not any(node.tables[0].caught_up for node in new)
+    network.cut = lambda source, target: False
+    until(network, lambda: same(network) and all(node.tables[0].caught_up for node in new), 40.0)
+
+
+def test_two_contents_under_one_number_have_one_winner_everywhere() -> None:
+    network = joined(4)
+    network.put(nodes(network)[0], ("quota/red", b"0"))
+    until(network, lambda: same(network), WITHIN)
+    network.cut = lambda source, target: source[1] % 2 != target[1] % 2
+    for number in (2, 3):
+        node = nodes(network)[number]
+        row = node.tables[0].put("quota/red", b"%d" % number, node.name, take_over=True)
+        network._carry_out(node, node.membership.spread(network.now, "settings", [row]))
+    network.run(10.0)
+    assert not same(network)
+    network.cut = lambda source, target: False
+    until(network, lambda: same(network), 40.0)
+    assert sum(node.tables[0].counts["conflicts"] for node in nodes(network)) > 0
+
+
+def test_what_is_beyond_the_bounds_is_refused_and_counted() -> None:
+    one = table(most_rows=3, most_bytes=400, row_limit=100)
+    for key in "abc":
+        one.put(key, b"1", "w")
+    for body, key, why in ((b"x" * 200, "a", "bytes, 100 at most"), (b"1", "d", "no room"),
+                           (b"1", "", "key has 1"), (b"1", "k" * 129, "key has 1")):
+        with pytest.raises(RowError, match=why):
+            one.put(key, body, "w")
+    assert one.counts == {"new": 3, "too-long": 1, "too-many": 1, "unsound": 2}
+    one.delete("a", "w")  # its tombstone holds its place, so that it can't come back
+    assert one.take(Row("d", 1, 1, "w", b"")) is Taken.TOO_MANY
+    assert one.take(Row("a", 1, 1, "w", b"1")) is Taken.OLD
+    for key in "bc":
+        one.put(key, b"x" * 60, "w")
+    one = table(most_bytes=100)
+    one.put("a", b"x" * 60, "w")
+    assert one.take(Row("b", 1, 1, "w", b"x" * 60)) is Taken.TOO_MANY
+
+
+def test_a_row_of_a_newer_program_is_carried_unread() -> None:
+    network = joined(5)
+    newer = Row("quota/red", 1, 7, "n9", b"\xff\x00 who knows", form=FORM + 1)
+    node = nodes(network)[3]
+    assert node.tables[0].take(newer) is Taken.NEW
+    network._carry_out(node, node.membership.spread(network.now, "settings", [newer]))
+    until(network, lambda: all(node.tables[0].get("quota/red") == newer for node in nodes(network)), WITHIN)
+    assert not newer.readable
+    with pytest.raises(RowError, match="newer program"):
+        node.tables[0].put("quota/red", b"old", "n9")
+    with pytest.raises(RowError, match="n9 writes it"):
+        node.tables[0].put("quota/red", b"old", "n3")
+
+
+# ---- digests
+
+
+@given(st.lists(st.tuples(st.sampled_from([f"k{n}" for n in range(40)]), st.integers(0, 2**64 - 1))),
+       st.sets(st.sampled_from([f"k{n}" for n in range(40)])))
+def test_a_tree_that_changed_is_the_tree_made_anew(puts: list[tuple[str, int]], drops: set[str]) -> None:
+    changed, held = Tree(), {}
+    for key, content in puts:
+        changed.put(key, content)
+        held[key] = content
+    for key in drops & set(held):
+        changed.drop(key)
+        del held[key]
+    anew = Tree()
+    for key, content in held.items():
+        anew.put(key, content)
+    assert changed._nodes == anew._nodes and changed._places == anew._places
+    assert sorted(key for part in range(WAYS) for key in changed.keys(WAYS + part)) == sorted(held)
+    assert depth(ROOT) == 0 and depth(ROOT * WAYS**DEPTH) == DEPTH
+
+
+def test_digests_that_collide_are_found_by_looking_at_the_items() -> None:
+    network = joined(6, size=6)
+    for number in range(12):
+        network.put(nodes(network)[0], (f"quota/t{number}", b"1"))
+    until(network, lambda: same(network), WITHIN)
+    odd = nodes(network)[3].tables[0]
+    network.put(nodes(network)[0], ("quota/t1", b"2"), ("quota/t2", b"2"))
+    until(network, lambda: same(network), WITHIN)
+    for key in ("quota/t1", "quota/t2"):  # a fault took it back to the old rows
+        odd._rows[key] = Row(key, 1, 1, "n0", b"1")
+    contents = {key: odd.tree._items[key][1] for key in ("quota/t1", "quota/t2")}
+    odd.tree.put("quota/t1", contents["quota/t1"] + 5 * 2**60)
+    odd.tree.put("quota/t2", contents["quota/t2"] - 5 * 2**60)
+    assert same(network)
+    until(network, lambda: odd.get("quota/t1").number == odd.get("quota/t2").number == 2,  # type: ignore
+          400.0)
+
+
+# ---- peers that lie
+
+
+class Liar:
+    """Takes the place of a node that the others know."""
+
+    def __init__(self, network: Network, node: Node) -> None:
+        self.network, self.node = network, node
+        self.asked: list[float] = []
+        network.kill(node)
+        send = network._send
+
+        def seen(source: Node, to: Address, message: object) -> None:
+            if to == node.address and isinstance(message, Exchange) and message.part.table == 1:
+                self.asked.append(network.now)
+            send(source, to, message)  # type: ignore[arg-type]
+
+        network._send = seen  # type: ignore[method-assign]
+
+    def tell(self, target: Node, message: object) -> None:
+        membership = target.membership
+        self.network._carry_out(target, membership.hear(
+            self.network.now, message, self.node.address))  # type: ignore[arg-type]
+        self.network._wake(target)
+
+
+def test_a_peer_whose_digests_never_match_is_left_alone_longer_and_longer() -> None:
+    network = joined(7, size=4)
+    network.put(nodes(network)[0], ("quota/red", b"1"))
+    until(network, lambda: same(network), WITHIN)
+    victim, liar = nodes(network)[1], Liar(network, nodes(network)[3])
+    me = liar.node.membership.me
+    for step in range(600):
+        digests = (victim.membership.carrier.digests()[0], step.to_bytes(8, "big"))
+        liar.tell(victim, Ping(step, me, victim.name, (), digests))
+        if step % 10 == 5:  # and answers what it was not asked, or in no way that ends
+            liar.tell(victim, Exchange(Compare(1, ((ROOT, step, 9),), False)))
+            liar.tell(victim, Exchange(Rows(1, (), (ROOT,), step, b"abc", False)))
+        network.run(0.1)
+    assert 1 <= len(liar.asked) < 40
+    assert victim.tables[0].get("quota/red").body == b"1"  # type: ignore[union-attr]
+
+
+def test_a_peer_that_tells_rows_for_ever_is_bounded_in_rows_and_in_what_it_makes_others_send() -> None:
+    network = joined(8, size=6)
+    for node in nodes(network):
+        node.tables[0].most_rows = 200
+    victim, liar = nodes(network)[1], Liar(network, nodes(network)[5])
+    begun = int(network.now) + 1
+    for step in range(200):
+        told = tuple(Row(f"k{step}-{n}", 1, 1, "w", b"x" * 40) for n in range(10))
+        liar.tell(victim, Exchange(Rows(1, told, (ROOT,), 1, bytes(100), False)))
+        liar.tell(victim, Exchange(Items(1, (ROOT,) * 20, step, b"")))
+        liar.tell(victim, Exchange(Compare(1, ((ROOT, step, 5000),), True)))
+        network.run(0.05)
+    assert all(len(node.tables[0]) <= 200 for node in nodes(network))
+    assert victim.tables[0].counts["too-many"] > 1000
+    assert busiest(network, begun) < A_SECOND
+    assert network.agreed() or network.settle(20.0) is not None
+
+
+# ---- networks that fail
+
+
+def test_one_way_cuts_keep_no_change_from_anybody() -> None:
+    network = joined(9)
+    for place in (2, 3, 4):
+        node = nodes(network)[place]
+        network.cut = lambda source, target, at=node.address: (  # type: ignore[misc]
+            source == at and target[1] % 3 != 0)
+        network.put(node, (f"quota/t{place}", b"1"))
+        until(network, lambda: same(network), WITHIN)
+    one, two = nodes(network)[5].address, nodes(network)[6].address
+    network.cut = lambda source, target: (source, target) == (one, two)
+    network.put(nodes(network)[5], ("quota/x", b"1"))
+    until(network, lambda: same(network), WITHIN)
+    assert network.false_deaths() == 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_what_a_burst_loses_is_repaired(seed: int) -> None:
+    """All but one of its messages go lost while it is told, and its rumours come to their end."""
+    network = joined(20 + seed)
+    deaf = nodes(network)[7]
+    network.cut = lambda source, target: target == deaf.address and network.rng.random() < 0.9
+    for number in range(20):
+        network.put(nodes(network)[number % 6], (f"quota/t{number}", b"1"))
+        network.run(0.05)
+    network.run(1.5)
+    network.cut = lambda source, target: False
+    until(network, lambda: same(network), WITHIN)
+
+
+def test_a_stopped_scheduler_that_wakes_is_current_and_blames_nobody_for_its_sleep() -> None:
+    network = joined(10)
+    network.timers_first = True
+    sleeper = nodes(network)[6]
+    asked = sleeper.membership.carrier.ask(network.now, 1, nodes(network)[3].address)
+    sleeper.membership._send(network.now, asked)
+    network.stop(sleeper, 20.0)
+    for number in range(20):
+        network.put(nodes(network)[number % 5], (f"quota/t{number}", b"1"))
+        network.run(1.0)
+    until(network, lambda: same(network), WITHIN)
+    assert sleeper.membership.carrier.repair._strikes == {}
+
+
+def test_sides_that_were_apart_hold_the_same_rows_soon_after_they_meet() -> None:
+    network = joined(11, size=20)
+    network.cut = lambda source, target: source[1] % 2 != target[1] % 2
+    network.run(5.0)
+    for number in range(120):
+        network.put(nodes(network)[number % 6], (f"quota/t{number}-{number % 2}", b"x" * 20))
+        network.run(0.2)
+    network.run(150.0)  # the members of the other side are forgotten
+    network.cut = lambda source, target: False
+    begun = int(network.now)
+    until(network, lambda: same(network) and network.agreed(), 20.0)
+    assert busiest(network, begun) < A_SECOND
+
+
+# ---- budget, sizes, joining
+
+
+def test_a_budget_holds_in_each_second_and_is_shared() -> None:
+    budget, sent, rng = Budget(2, 0.0), [0, 0, 0], random.Random(1)
+    windows = []
+    for step in range(2000):
+        now = step / 100
+        budget.charge(now, 20)
+        sent[2] += 20
+        for place in (0, 1) if rng.random() < 0.5 else (1, 0):
+            if room := budget.room(now, place, 300):
+                size = room if place == 0 else min(room, 400)
+                budget.spend(now, place, size)
+                sent[place] += size
+        windows.append(sum(sent))
+    assert max(windows[at + 100] - windows[at] for at in range(1900)) < A_SECOND
+    assert sum(sent) > 0.8 * 20 * RATE  # and nothing is left unused
+    assert 0.7 < sent[0] / sent[1] < 1.4
+    budget = Budget(2, 0.0)
+    assert budget.room(0.0, 0) == int(BURST)  # where nobody else waits, all of it
+
+
+def test_rumours_come_the_least_told_first_then_the_newest_and_end() -> None:
+    rumours: Rumours[Row] = Rumours()
+    for number in range(4):
+        rumours.add(Row(f"k{number}", 1, 1, "w", b""))
+    size = Row("k0", 1, 1, "w", b"").size
+    assert [row.key for row in rumours.take(2 * size, 5)] == ["k3", "k2"]
+    rumours.add(Row("k4", 1, 1, "w", b""))
+    assert [row.key for row in rumours.take(3 * size, 5)] == ["k4", "k1", "k0"]
+    assert rumours.take(size, 5, but=[Row("k2", 1, 1, "w", b"")])[0].key != "k2"
+    told = sum(len(rumours.take(10 * size, 5)) for _ in range(20))
+    assert told == 5 * tellings(5) - 6 and len(rumours) == 0
+
+
+def test_one_that_lost_everything_is_current_within_five_seconds(monkeypatch: pytest.MonkeyPatch) -> None:
+    """From a fleet with 500 rows; no message is longer than a datagram, and nobody sends more than it may."""
+    network = joined(12, size=30)
+    source = table()
+    made = [source.put(f"quota/team-{number}", b'{"share":0.125,"burst":12}', "ops") for number in range(500)]
+    for node in nodes(network):
+        for row in made:
+            node.tables[0].take(row)
+    network.run(3.0)
+    longest, codec = [0], Codec("pipitshed")
+    size = virtual_view.message_size
+
+    def seen(message: object) -> int:
+        longest[0] = max(longest[0], len(codec.encode(message)))  # type: ignore[arg-type]
+        return size(message)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(virtual_view, "message_size", seen)
+    network.kill(nodes(network)[9])
+    network.run(1.0)
+    begun = int(network.now) + 1
+    new = network.start(9, [0, 1])
+    until(network, lambda: same(network) and new.tables[0].caught_up and network.agreed(), WITHIN)
+    assert busiest(network, begun) < A_SECOND and 500 < longest[0] <= DATAGRAM_LIMIT
+
+
+def test_what_each_sends_at_rest_does_not_grow_with_the_fleet_or_its_rows() -> None:
+    rates = []
+    for size, count in ((10, 0), (10, 200), (60, 200)):
+        network = joined(13, size)
+        for number in range(count):
+            network.put(nodes(network)[0], (f"quota/t{number}", b"1"))
+            if number % 20 == 19:
+                network.run(1.0)
+        network.run(10.0)
+        network.bytes_out.clear()
+        network.run(20.0)
+        rates.append(sum(network.bytes_out.values()) / size / 20.0)
+    assert max(rates) < 1.1 * min(rates) and max(rates) < 2000
+
+
+def test_repair_costs_what_differs() -> None:
+    """One row of 600 that one scheduler lacks: a few datagrams, not the table."""
+    told = []
+    for lacking in (1, 40):
+        network = joined(14, size=4)
+        source = table()
+        for number in range(600):
+            row = source.put(f"quota/team-{number}", b'{"share":0.125,"burst":12}', "ops")
+            for place, node in enumerate(nodes(network)):
+                if place != 2 or number >= lacking:
+                    node.tables[0].take(row)
+        sizes = []
+        send = network._send
+
+        def seen(node: Node, to: Address, message: object, sizes: list[int] = sizes,
+                 send: object = send) -> None:
+            if isinstance(message, Exchange) and message.part.table == 1:
+                sizes.append(message_size(message) + ENVELOPE)
+            send(node, to, message)  # type: ignore[operator]
+
+        network._send = seen  # type: ignore[method-assign, assignment]
+        until(network, lambda net=network: same(net), WITHIN)  # type: ignore[misc]
+        told.append(sum(sizes))
+    assert told[0] < 3000 and told[1] < 12_000 < source._bytes / 2
