A whole list has its time while it comes at 64 KiB/s; it was given up after 1.5 s

A piece of news had to be whole 1.5 s after its first byte.

Each 1.5 s (PIECE) in which 96 KiB or more came gives the piece another 1.5 s. Small news is as urgent as before: changes that trickle are given up after 1.5 s.

A piece that waits for its turn behind a list with a bad row is dropped only where it is of the same call: another call's news stands for itself.

--- a/pipitshed/routes/discovery.py
+++ b/pipitshed/routes/discovery.py
@@ -8,6 +8,7 @@
 import re
 import sys
 from collections import Counter, deque
+from collections.abc import Callable
 from typing import Protocol, cast
 
 import msgspec
@@ -23,6 +24,7 @@
 ANSWER_TIMEOUT = 3.2  # s to the head of an answer: calls wait in turn, and fail there when that took too long
 PIECE = 1.5  # s from its first byte, or from the head, within which a piece of news is whole
 LEAST_HURRY = 0.25  # s that a pushed list's agent is given at least to take a connection, or to answer
+LEAST_RATE = 64 * 1024  # bytes/s at which a piece that is longer than that comes, to have further PIECEs
 IDLE_LOOK = 3.0  # s without a call after which the decisions are told that the last one failed
 HEARTBEAT = 2.0  # s between empty lines while nothing changes
 SILENCE = HEARTBEAT + 0.4  # s after which a watch is taken for cut
@@ -242,15 +244,15 @@
                 kind = ListKind.FULL if members.reset else ListKind.DELTA
                 self.table.fill(SOURCE, kind, members.generation, self._lines)
             except Exception as error:
-                # Guards against what comes behind it, which would be taken for all that there is.
-                self._waiting.clear()
+                # Guards against what came behind it in this call, which would be taken for all that there is.
+                self._waiting = deque(one for one in self._waiting if one[0] is not call)
                 self._lines = []
                 if isinstance(error, ValueError):
                     self.wrong(f"no list: {error}")
                 else:
                     log.exception("news from discovery")
                 call.fail()
-                return
+                continue
             self._waiting.popleft()
             self._lines = []
             self.heard = True
@@ -286,6 +288,7 @@
         self._beyond: int | None = None  # bytes so far of a piece beyond the bound, which is passed over
         self._lines = False  # that piece comes in several lines
         self._missed = False  # a piece was passed over, and no whole list has come since
+        self._came = 0  # bytes
         self._due: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
@@ -319,12 +322,26 @@
             self.end()
             self._discovery.table.failed()
 
-    def _expect(self, seconds: float) -> None:
-        """What is awaited now comes within so long, whatever bytes come before it is whole."""
+    def _expect(self, seconds: float, otherwise: Callable[[], None] | None = None) -> None:
+        """What is awaited now comes within so long, whatever bytes come before it is whole; else the call has
+        failed, or `otherwise` tells."""
         if self._due is not None:
             self._due.cancel()
         if not self._over:
-            self._due = self._discovery.loop.call_later(seconds, self.fail)
+            self._due = self._discovery.loop.call_later(seconds, otherwise or self.fail)
+
+    def _expect_piece(self) -> None:
+        """A piece of news is whole soon; a long list may take as long as it goes on coming. Guards against
+        one that is given up each time, and asked for again, where many fetch it at once."""
+        before = self._came
+
+        def look() -> None:
+            if self._came - before >= PIECE * LEAST_RATE:
+                self._expect_piece()
+            else:
+                self.fail()
+
+        self._expect(PIECE, look)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's are none by inheritance
@@ -341,6 +358,7 @@
             return
         unfinished = self._unfinished
         self._discovery.tally["list bytes"] += len(data)
+        self._came += len(data)
         try:
             self._reader.feed(data)
         except BadAnswerError as error:
@@ -353,7 +371,7 @@
         # byte, and only a whole line, news or heartbeat, is a sign of life. What discovery tells counts as
         # told whether or not its end arrives.
         if self._unfinished and not unfinished and self._beyond is None:
-            self._expect(PIECE)
+            self._expect_piece()
 
     @property
     def _unfinished(self) -> bool:
@@ -368,7 +386,7 @@
         if status != 200:
             self.fail()
         else:
-            self._expect(PIECE)  # the first piece comes at once
+            self._expect_piece()  # the first one comes at once
 
     def body_came(self) -> None:
         buffer, bound = self._reader.buffer, self._bound
--- a/tests/test_list_changes.py
+++ b/tests/test_list_changes.py
@@ -148,6 +148,12 @@
     rig.opened()
     rig.read(news_of(9, True, rows(3, "ready")))
     assert rig.core.routes.ready() == 3 and rig.discovery.version == 9
+    rig.read(news_of(10, True, bad))
+    rig.call.fail()  # and where the next call's news waits behind it, that is taken
+    rig.opened()
+    rig.read(news_of(11, False, rows(2)))
+    await rig.turns(lambda: rig.discovery.version == 11)
+    assert rig.core.routes.size() == 3 and rig.core.routes.ready() == 1
 
 
 def test_what_is_counted_as_it_changes_agrees_with_a_count_of_the_whole_list() -> None:
