Settings by row at a scheduler: taken in batches, kept, confirmed, put by command

A tenant's quota or share, or a class's limits, is to be changed at one scheduler and in force in all of them. A file read anew has the rows over it, and the log says so by key. A damaged rows-file is left aside.

`settings put|delete|show|status`: `put` ends with 0 only where every member that lives in the view of the scheduler asked has said, in its present life, that it acts on this very row (replication/acting.py, pure): members tell the writer in one datagram, at a time drawn over living * 81 B / 4,500 B/s, and the writer asks those not heard of, 28 a second. Without a secret only this machine may write. A change names the row it takes the place of, so one that crosses another, or comes twice, is refused.

--- a/pipitshed/cli.py
+++ b/pipitshed/cli.py
@@ -52,7 +52,8 @@
 
 
 _EXTRA = {"lab": ("pipitshed.lab.commands", "lab"), "place": ("pipitshed.placement.commands", "placement"),
-          "fleet": ("pipitshed.peers.commands", "fleet")}
+          "fleet": ("pipitshed.peers.commands", "fleet"),
+          "settings": ("pipitshed.peers.settings_commands", "fleet")}
 
 
 class _Commands(click.Group):
--- a/pipitshed/config.py
+++ b/pipitshed/config.py
@@ -97,6 +97,12 @@
     return replace(settings, list_on_request=True, list_pushed=not settings.list_on_request)
 
 
+def resettled(config: Config, settings: dict[str, Any]) -> Config:
+    """The configuration with the settings of another file, which has the same names; `raw` stays the file
+    that was read. SettingsError where the settings can't be."""
+    return replace(config, settings=_on_sockets(settings_from(settings)))
+
+
 def load(environment: Mapping[str, str] = os.environ) -> Config:
     """Read what LB_CONFIG names; ConfigError where that can't be used."""
     path = environment.get("LB_CONFIG", "")
--- a/pipitshed/peers/commands.py
+++ b/pipitshed/peers/commands.py
@@ -5,9 +5,9 @@
 import socket
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import click
 import msgspec
@@ -21,28 +21,29 @@
 
 WITHIN = 3.0  # s for an answer
 WATCH_EVERY = 1.0  # s
+_Told = TypeVar("_Told", bound=Said)
 
 
 class AskError(Exception):
     """No answer; the text says why."""
 
 
-def ask(peer: Address, codec: Codec, message: Said) -> Shown:
-    """Ask a scheduler at its peer address."""
+def ask(peer: Address, codec: Codec, message: Said, wanted: type[_Told]) -> _Told:
+    """Ask a scheduler at its peer address; AskError where no answer of the wanted form comes in time."""
     try:
         with socket.create_connection(peer, WITHIN) as link:
             link.settimeout(WITHIN)
             link.sendall(framed(codec.encode(message)))
             length, = LENGTH.unpack(_exactly(link, LENGTH.size))
             if length > FRAME_LIMIT:
-                raise AskError("the answer is longer than any view")
+                raise AskError("the answer is longer than any can be")
             told = codec.decode(_exactly(link, length))
     except OSError as error:
         raise AskError(str(error) or "no answer in time") from None
     except RefusedError as error:
         raise AskError(f"the answer is of no scheduler of this cluster ({error})") from None
-    if not isinstance(told, Shown):
-        raise AskError("the answer is no view")
+    if not isinstance(told, wanted):
+        raise AskError("the answer is not of what was asked")
     return told
 
 
@@ -59,11 +60,8 @@
 def table(shown: Shown) -> str:
     """The view as text."""
     rows = [("NAME", "ZONE", "ADDRESS", "STATE", "INCARNATION", "FOR", "SAID BY", "SAME VIEW")]
-    rows += [(row.name, row.zone, row.address, row.state, str(row.incarnation), _for(row.for_s), row.said_by,
-              {True: "yes", False: "no", None: "-"}[row.agrees]) for row in shown.members]
-    widths = [max(len(row[place]) for row in rows) for place in range(len(rows[0]))]
-    lines = ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
-             for row in rows]
+    rows += [(row.name, row.zone, row.address, row.state, str(row.incarnation), lasting(row.for_s),
+              row.said_by, {True: "yes", False: "no", None: "-"}[row.agrees]) for row in shown.members]
     living = [row for row in shown.members if row.state in ("alive", "suspect")]
     others = sum(row.agrees is True for row in living) - 1
     told = (f"{shown.name}: view {shown.number}, hash {shown.digest}; {others} of {len(living) - 1} others "
@@ -71,10 +69,18 @@
     told += f"; doubts itself by {shown.health}" if shown.health else ""
     told += "; is leaving" if shown.leaving else ""
     told += "; ITS NAME IS HELD BY ANOTHER PROCESS" if shown.displaced else ""
-    return "\n".join([told, *lines])
+    return "\n".join([told, *columns(rows)])
+
+
+def columns(rows: Sequence[Sequence[str]]) -> list[str]:
+    """These cells as lines, one below the other."""
+    widths = [max(len(row[place]) for row in rows) for place in range(len(rows[0]))]
+    return ["  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+            for row in rows]
 
 
-def _for(seconds: float) -> str:
+def lasting(seconds: float) -> str:
+    """A time in the unit that suits it."""
     for size, unit in ((86400, "d"), (3600, "h"), (60, "min")):
         if seconds >= 2 * size:
             return f"{seconds / size:.0f} {unit}"
@@ -84,7 +90,7 @@
 _Command = Callable[..., None]
 
 
-def _asked(command: _Command) -> _Command:
+def asked(command: _Command) -> _Command:
     """The options by which a scheduler is found."""
     for option in (
             click.option("--secret-file", type=click.Path(path_type=Path, exists=True, dir_okay=False),
@@ -97,8 +103,9 @@
     return command
 
 
-def _way(peer: str | None, file: Path | None, cluster: str,
-         secret_file: Path | None) -> tuple[Address, Codec]:
+def way_to(peer: str | None, file: Path | None, cluster: str,
+           secret_file: Path | None) -> tuple[Address, Codec]:
+    """The scheduler that these options name, and how to speak to it; the program ends where there is none."""
     try:
         if file is not None:
             told = read(file)
@@ -112,9 +119,10 @@
         sys.exit(2)
 
 
-def _ask(way: tuple[Address, Codec], message: Said) -> Shown:
+def ask_or_end(way: tuple[Address, Codec], message: Said, wanted: type[_Told]) -> _Told:
+    """The answer; the program ends with 1 where none comes."""
     try:
-        return ask(*way, message)
+        return ask(*way, message, wanted)
     except AskError as error:
         click.echo(f"pipitshed: {way[0][0]}:{way[0][1]}: {error}", err=True)
         sys.exit(1)
@@ -126,14 +134,14 @@
 
 
 @fleet.command()
-@_asked
+@asked
 @click.option("--json", "as_json", is_flag=True, help="The view as one JSON object.")
 @click.option("--watch", is_flag=True, help="Again each second, until Ctrl-C.")
 def show(as_json: bool, watch: bool, **told: Any) -> None:
     """Print the view of one scheduler: who lives, since when, who said so, and who agrees."""
-    way = _way(**told)
+    way = way_to(**told)
     while True:
-        shown = _ask(way, Show())
+        shown = ask_or_end(way, Show(), Shown)
         if as_json:
             click.echo(msgspec.json.encode(msgspec.structs.asdict(shown) | {
                 "members": [msgspec.structs.asdict(row) for row in shown.members]}).decode())
@@ -145,8 +153,8 @@
 
 
 @fleet.command()
-@_asked
+@asked
 def leave(**told: Any) -> None:
     """Let one scheduler leave the fleet in good order; it serves its clients on."""
-    shown = _ask(_way(**told), Leave())
+    shown = ask_or_end(way_to(**told), Leave(), Shown)
     click.echo(f"{shown.name} has left the fleet, and serves on")
--- a/pipitshed/peers/file.py
+++ b/pipitshed/peers/file.py
@@ -33,6 +33,8 @@
     cluster: str = "pipitshed"  # in every message; others are dropped
     secret_file: str = ""  # beside this file: its first line keys every checksum, so that nobody can forge
     seeds: list[str] = []  # peer addresses to join by
+    region: str = ""  # where it stands, beside the zone: few messages cross to another
+    rows_file: str = ""  # beside this file: keeps settings by row over a restart; written by the program
     event_log: str = ""  # beside this file: JSON lines of what this view saw; needs the extra `fleet`
     scales: Scales = msgspec.field(default_factory=Scales)
 
@@ -50,6 +52,8 @@
     seeds: list[Address]
     event_log: Path | None
     scales: Scales
+    region: str = ""
+    rows_file: Path | None = None
 
 
 def read(path: Path) -> Peers:
@@ -80,7 +84,8 @@
     return Peers(file.name, file.zone, address_of(file.listen),
                  address_of(file.advertise) if file.advertise else None, file.cluster, secret,
                  [address_of(seed) for seed in file.seeds],
-                 path.parent / file.event_log if file.event_log else None, file.scales)
+                 path.parent / file.event_log if file.event_log else None, file.scales, file.region,
+                 path.parent / file.rows_file if file.rows_file else None)
 
 
 def _place(told: str) -> tuple[tuple[str, ...], str]:
@@ -96,7 +101,7 @@
 def _fault(file: PeersFile) -> tuple[tuple[str, ...], str] | None:
     """The first key that can't be, and why."""
     for key, value, needed in (("name", file.name, True), ("zone", file.zone, False),
-                               ("cluster", file.cluster, True)):
+                               ("region", file.region, False), ("cluster", file.cluster, True)):
         if needed and not value:
             return (key,), "it is empty"
         if len(value.encode()) > NAME_LIMIT:
--- a/pipitshed/peers/fleet.py
+++ b/pipitshed/peers/fleet.py
@@ -11,15 +11,18 @@
 import time
 from collections import Counter
 
-from pipitshed.membership.effects import Displaced, Effect, News, Tell
+from pipitshed.membership.effects import Displaced, Effect, News, RowNews, Tell
 from pipitshed.membership.members import Address, State, Word
+from pipitshed.membership.messages import Exchange
 from pipitshed.membership.protocol import Membership
 from pipitshed.peers.codec import DATAGRAM_LIMIT, Codec
 from pipitshed.peers.datagrams import Datagrams
 from pipitshed.peers.eventlog import EventLog
 from pipitshed.peers.file import Peers
-from pipitshed.peers.messages import Leave, Row, Said, Show, Shown
+from pipitshed.peers.messages import Answer, Leave, Row, Said, Settings, Show, Shown
+from pipitshed.peers.rows import Reply, SettingsRows, Tuned
 from pipitshed.peers.streams import Streams
+from pipitshed.replication.row import Row as SettingsRow
 
 log = logging.getLogger("pipitshed.fleet")
 
@@ -28,8 +31,9 @@
     """One scheduler among its peers. Nothing here decides about a request: where no peer answers, the
     scheduler serves on."""
 
-    def __init__(self, peers: Peers, zone: str, loop: asyncio.AbstractEventLoop) -> None:
-        """Bind the peer address; OSError where it is taken."""
+    def __init__(self, peers: Peers, zone: str, loop: asyncio.AbstractEventLoop,
+                 tuned: Tuned | None = None) -> None:
+        """Bind the peer address; OSError where it is taken. Settings by row change what is `tuned`."""
         self._loop = loop
         self._peers = peers
         self._codec = Codec(peers.cluster, peers.secret)
@@ -39,17 +43,20 @@
         self._log = EventLog.to(peers.event_log)
         host, port = peers.advertise or self.address
         me = Word(peers.name, host, port, peers.zone or zone, int(time.time() * 1000), secrets.randbits(32),
-                  said_by=peers.name)
+                  said_by=peers.name, region=peers.region)
+        self.rows = SettingsRows(peers, me, tuned, self, loop, self._log) if tuned is not None else None
         self.membership = Membership(me, peers.scales, peers.seeds, random.Random(secrets.randbits(64)),
-                                     loop.time())
+                                     loop.time(), (self.rows.table,) if self.rows is not None else ())
         self._addresses: tuple[int, frozenset[Address]] = (-1, frozenset())
-        self._streams = Streams(self._codec, loop, self._heard, self._count)
-        self._datagrams = Datagrams(self._codec, loop, self._heard, self._known, self._count)
+        self._streams = Streams(self._codec, loop, self._heard, self.count)
+        self._datagrams = Datagrams(self._codec, loop, self._heard, self._known, self.count)
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._due = math.inf  # loop time of that timer; uvloop's has none where it is due at once
         self._told = ""  # the digest that the event log has last
         self._closed = False
+        if self.rows is not None:
+            self.rows.begin()
 
     async def start(self) -> None:
         """Join: listen, and exchange all with a seed."""
@@ -63,7 +70,8 @@
 
     # ---- in
 
-    def _count(self, what: str) -> None:
+    def count(self, what: str) -> None:
+        """Count it, for `fleet show` and `/-/metrics`."""
         self.counts[what] += 1
 
     def _known(self, address: Address) -> bool:
@@ -81,7 +89,10 @@
         elif isinstance(message, Leave):
             self.leave()
             self._streams.answer(source, self._codec.encode(self.shown()))
-        elif not isinstance(message, Shown):
+        elif isinstance(message, Settings):
+            if self.rows is not None:
+                self.rows.hear(message, source)
+        elif not isinstance(message, Answer):
             self._carry_out(self.membership.hear(self._loop.time(), message, source))
             self._arm()
 
@@ -108,6 +119,9 @@
                 self._tell(effect)
             elif isinstance(effect, News):
                 self._news(effect)
+            elif isinstance(effect, RowNews):
+                assert self.rows is not None  # it has the only table
+                self.rows.news(effect.rows)
             elif isinstance(effect, Displaced):
                 log.error("another process holds the name %s: %s:%d, started later; this one is out of the "
                           "view", effect.by.name, effect.by.host, effect.by.port)
@@ -120,13 +134,34 @@
 
     def _tell(self, tell: Tell) -> None:
         data = self._codec.encode(tell.message)
+        if isinstance(tell.message, Exchange):
+            self.counts["repair_bytes_out"] += len(data)
         if self._streams.answer(tell.to, data):
             return
         if len(data) > DATAGRAM_LIMIT:
-            self._count("dropped_long")
+            self.count("dropped_long")
         else:
             self._datagrams.send(tell.to, data)
 
+    # ---- for settings by row
+
+    def send(self, to: Address, message: Said) -> None:
+        """Send a datagram; it goes whatever the budget has left, and counts."""
+        data = self._codec.encode(message)
+        self.membership.carrier.budget.charge(self._loop.time(), len(data))
+        self._datagrams.send(to, data)
+
+    def reply(self, source: Address) -> Reply | None:
+        """What answers the stream that is being heard, now or later; None where it is none."""
+        answer = self._streams.later(source)
+        return None if answer is None else lambda message: answer(self._codec.encode(message))
+
+    def spread(self, row: SettingsRow) -> None:
+        """Tell the others of a row that was written here."""
+        assert self.rows is not None
+        self._carry_out(self.membership.spread(self._loop.time(), self.rows.table.name, (row,)))
+        self._arm()
+
     def _news(self, news: News) -> None:
         word = news.word
         before = news.before.name.lower() if news.before is not None else "unknown"
@@ -161,6 +196,8 @@
         told = {f"fleet.{state.name.lower()}": counts[state] for state in State}
         told |= {"fleet.view_number": view.number, "fleet.health": self.membership.health.score}
         told |= {f"fleet.{name}": count for name, count in sorted(self.counts.items())}
+        if self.rows is not None:
+            told |= {f"fleet.{name}": count for name, count in sorted(self.rows.figures().items())}
         return "".join(f"scheduler.{name}={value}\n" for name, value in told.items()).encode()
 
     def leave(self) -> None:
@@ -174,6 +211,8 @@
     def close(self) -> None:
         """End all of it."""
         self._closed = True
+        if self.rows is not None:
+            self.rows.close()
         if self._timer is not None:
             self._timer.cancel()
         self._datagrams.close()
--- a/pipitshed/peers/streams.py
+++ b/pipitshed/peers/streams.py
@@ -132,6 +132,11 @@
         stream.answer(data)
         return True
 
+    def later(self, to: Address) -> Callable[[bytes], None] | None:
+        """What answers the stream that is being heard, once the answer is known; None where `to` is none."""
+        stream = self._answering.get(to)
+        return stream.answer if stream is not None else None
+
     def ask(self, to: Address, data: bytes, from_host: str) -> None:
         """Open a stream, write one message and hear what comes back. Nothing is told where it fails: whoever
         asks, asks again in its own time."""
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -24,7 +24,7 @@
 from pipitshed.mgmt.front import MgmtFront
 from pipitshed.routes.discovery import SOURCE as DISCOVERY
 from pipitshed.routes.discovery import Discovery, Listing, Members, Names, list_bound
-from pipitshed.tuning.classes import GRACE, ClassBook
+from pipitshed.tuning.classes import GRACE, Change, ClassBook
 from pipitshed.tuning.whole import lacking
 from pipitshed.wire.http import BODY_LIMIT
 
@@ -177,8 +177,9 @@
     def _fleet(self, config: Config, peers: Peers) -> Fleet:
         # Imported where it is asked for, as above; only the option `--fleet` asks.
         from pipitshed.peers.fleet import Fleet
+        from pipitshed.peers.rows import Tuned
         zone = config.zones[config.settings.zone] if config.zones else ""
-        return Fleet(peers, zone, self._loop)
+        return Fleet(peers, zone, self._loop, Tuned(lambda: self.config, self._retune))
 
     def _hurry(self, config: Config) -> None:
         if self.discovery is not None and config.settings.list_pushed:
@@ -217,7 +218,10 @@
             log.error("the configuration stays as it was: %s", error)
             return
         self.conf_loaded += 1
-        self._retune(config)
+        if self.fleet is not None and self.fleet.rows is not None:
+            config = self.fleet.rows.over(config)
+        change = self._retune(config)
+        log.info("settings read anew: %s; at most %d attempts", change, config.settings.limits.max_attempts)
         if self.discovery is None or config.discovery is None:
             log.warning("the configuration is read again; discovery can't be followed from or to nowhere")
             return
@@ -226,8 +230,8 @@
         self.discovery.follow(config.discovery)
         log.info("the configuration is read again; discovery is at %s:%d", *config.discovery)
 
-    def _retune(self, config: Config) -> None:
-        """Take the settings of a file that is whole."""
+    def _retune(self, config: Config) -> Change:
+        """Take the settings of a file that is whole, or of one with rows over it."""
         now = self._loop.time()
         told = config.settings
         # Guards against a file that tells zones, kinds or report fields in another order: planners that are
@@ -243,7 +247,7 @@
         if self.book.leaving:
             self._loop.call_later(GRACE, self._door)
         self.config = config
-        log.info("settings read anew: %s; at most %d attempts", change, settings.limits.max_attempts)
+        return change
 
     def _door(self) -> None:
         """Classes that a file dropped are taken no more once their grace is over."""
--- a/pipitshed/tuning/rows.py
+++ b/pipitshed/tuning/rows.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from pipitshed.decisions.settings import SettingsError, check_entry
-from pipitshed.replication.rows import Row
+from pipitshed.replication.row import Row
 
 VALUE_LIMIT = 32  # bytes of a value
 _NUMBER = re.compile(rb"-?(0|[1-9][0-9]*)(\.[0-9]+)?([eE][+-]?[0-9]+)?")
@@ -31,7 +31,7 @@
     """Rows laid over a file."""
 
     raw: dict[str, Any]  # the file as it would read with the rows' values in it
-    acted: dict[str, Row]  # what is acted on, by key; it may be an older row than the one refused
+    acted: dict[str, Row]  # what is acted on, by key, deleted rows too; it may be older than the one refused
     refused: dict[str, str]  # why, by key
 
 
@@ -44,7 +44,10 @@
     refused: dict[str, str] = {}
     for row in rows:
         for one in (row, (stood or {}).get(row.key)):
-            if one is None or one.deleted:
+            if one is None:
+                break
+            if one.deleted:
+                acted[one.key] = one
                 break
             try:
                 kind, place, field, value = _checked(raw, places, one)
