The rig puts settings, and holds each `in force` against what all act on

`[[put]]` and `[put-mix]` in a scenario put changes at named or drawn schedulers, during the faults; each is followed until it is in force. The oracles (row_oracles.py) read the processes' events alone: at the moment of `in force` every member named acts on the row in the life named, and so does every other one that lives and that nothing was done to for a while; no process goes back to an older row, nor does a restart that found its folder; at the end all act on the same rows, and a last change must come in force.

--- a/pipitshed/lab/commands.py
+++ b/pipitshed/lab/commands.py
@@ -91,7 +91,7 @@
     """Play a scenario with several processes and faults between them; exit code 1 where an oracle says no,
     with the script that fails."""
     from pipitshed.lab.fleet import play as rig
-    from pipitshed.lab.fleet.scenario import Fault, ScenarioError, drawn, read, script
+    from pipitshed.lab.fleet.scenario import Fault, ScenarioError, drawn, drawn_puts, read, script
     try:
         scenario = read(file.read_text(), processes)
     except ScenarioError as error:
@@ -100,8 +100,8 @@
     experiments.raise_descriptors()
     failed = 0
     for number in range(seed, seed + seeds):
-        faults = drawn(scenario, number)
-        verdict = uvloop.run(rig.play(scenario, faults, number, logs / str(number) if logs else None))
+        faults, puts = drawn(scenario, number), drawn_puts(scenario, number)
+        verdict = uvloop.run(rig.play(scenario, faults, number, logs / str(number) if logs else None, puts))
         text = json.dumps(verdict)
         click.echo(text)
         if report is not None:
@@ -112,8 +112,9 @@
         failed += 1
 
         def fails(fewer: tuple[Fault, ...], number: int = number) -> bool:
-            return bool(uvloop.run(rig.play(scenario, fewer, number))["wrong"])
+            puts = drawn_puts(scenario, number)
+            return bool(uvloop.run(rig.play(scenario, fewer, number, None, puts))["wrong"])
 
         least = rig.smallest(faults, fails, shrink) if shrink else faults
-        click.echo(f"# it fails with seed {number}:\n{script(scenario, least)}", err=True)
+        click.echo(f"# it fails with seed {number}:\n{script(scenario, least, puts)}", err=True)
     sys.exit(1 if failed else 0)
--- a/pipitshed/lab/fleet/oracles.py
+++ b/pipitshed/lab/fleet/oracles.py
@@ -12,6 +12,19 @@
 TOUCH = 1.0  # s around what was done to a process, within which its clients' requests may be lost
 
 
+Version = tuple[int, int]  # a row's term and number
+
+
+@dataclass(frozen=True)
+class InForce:
+    """A scheduler has said that a row is in force."""
+
+    when: float
+    key: str
+    version: Version
+    acting: dict[str, int]  # who acts on it, and in which life
+
+
 @dataclass
 class Instance:
     """One start of the program."""
@@ -26,6 +39,11 @@
     deaths: list[tuple[float, str, int]] = field(default_factory=list)  # declared or heard: when, name, life
     displaced: bool = False
     away: list[tuple[float, float]] = field(default_factory=list)  # it stood still
+    disk: bool = True  # it found the folder of the start before
+    started: float = 0.0
+    acting: list[tuple[float, dict[str, Version]]] = field(default_factory=list)  # rows acted on from then
+    refused: list[tuple[float, str, str]] = field(default_factory=list)  # when, key and reason
+    in_force: list[InForce] = field(default_factory=list)
 
 
 @dataclass
@@ -37,18 +55,49 @@
     over: float  # when the last fault was over
     end: float  # when the play was
     outside: list[str]  # what the rig itself found wrong
-
-
-def read(folder: Path) -> Logs:
-    """The logs in a play's folder."""
-    instances: dict[tuple[int, int], Instance] = {}
-    logs = Logs([], [], 0.0, 0.0, [])
-    for line in (folder / "rig.jsonl").read_text().splitlines():
-        told = json.loads(line)
+    puts: list[dict[str, Any]] = field(default_factory=list)  # changes of settings, as they were answered
+
+
+class Reading:
+    """The logs in a play's folder, read on from where the last look ended: looks are many while a play waits
+    for agreement, and logs grow."""
+
+    def __init__(self, folder: Path) -> None:
+        self.logs = Logs([], [], 0.0, 0.0, [])
+        self._folder = folder
+        self._instances: dict[tuple[int, int], Instance] = {}
+        self._events: dict[str, Instance] = {}  # by file
+        self._read: dict[str, int] = {}  # bytes, by file
+
+    def look(self) -> Logs:
+        """All that is there by now."""
+        for line in self._lines("rig.jsonl"):
+            self._rig(json.loads(line))
+        for name, one in self._events.items():
+            for line in self._lines(name):
+                _event(one, json.loads(line))
+        return self.logs
+
+    def _lines(self, name: str) -> list[bytes]:
+        """The whole lines since the last look; one that a process was killed over never gets its end."""
+        path = self._folder / name
+        if not path.exists():
+            return []
+        with path.open("rb") as log:
+            log.seek(self._read.get(name, 0))
+            data, _, _ = log.read().rpartition(b"\n")
+        if data:
+            self._read[name] = self._read.get(name, 0) + len(data) + 1
+        return data.splitlines()
+
+    def _rig(self, told: dict[str, Any]) -> None:
         event, key = told["event"], (told.get("place", -1), told.get("start", -1))
+        logs, instances = self.logs, self._instances
         if event == "spawn":
-            one = instances[key] = Instance(told["process"], *key, spawned=told["t"])
-            _events(one, folder / told["events"])
+            one = instances[key] = Instance(told["process"], *key, spawned=told["t"],
+                                            disk=told.get("disk", True))
+            logs.instances.append(one)
+            self._events[told["events"]] = one
         elif event in ("kill", "term", "died"):
             if key in instances and instances[key].ended is None:
                 instances[key].ended = told["t"]
@@ -66,7 +115,13 @@
             logs.over = told["t"]
         elif event == "end":
             logs.end = told["t"]
-    logs.instances = list(instances.values())
+        elif event == "put":
+            logs.puts.append(told)
+
+
+def read(folder: Path) -> Logs:
+    """The logs in a play's folder, up to the play's end."""
+    logs = Reading(folder).look()
     if logs.end:
         # Guards the verdict against what comes after the play: all are told to end then, and a fleet of
         # nobody would be in agreement whatever it held before.
@@ -76,20 +131,22 @@
     return logs
 
 
-def _events(one: Instance, path: Path) -> None:
-    for line in path.read_text().splitlines() if path.exists() else ():
-        try:
-            told = json.loads(line)
-        except ValueError:
-            continue  # killed while it wrote
-        if told["event"] == "started":
-            one.life = told["life"]
-        elif told["event"] == "view":
-            one.views.append((told["t"], {name: life for name, life in told["living"]}))
-        elif told["event"] == "member" and told["state"] == "dead":
-            one.deaths.append((told["t"], told["name"], told["life"]))
-        elif told["event"] == "displaced":
-            one.displaced = True
+def _event(one: Instance, told: dict[str, Any]) -> None:
+    event = told["event"]
+    if event == "started":
+        one.life, one.started = told["life"], told.get("t", 0.0)
+    elif event == "view":
+        one.views.append((told["t"], {name: life for name, life in told["living"]}))
+    elif event == "member" and told["state"] == "dead":
+        one.deaths.append((told["t"], told["name"], told["life"]))
+    elif event == "displaced":
+        one.displaced = True
+    elif event == "acting":
+        one.acting.append((told["t"], {key: (term, number) for key, term, number in told["rows"]}))
+        one.refused += [(told["t"], key, why) for key, why in told["refused"]]
+    elif event == "in_force":
+        one.in_force.append(InForce(told["t"], told["key"], (told["term"], told["number"]),
+                                    dict(told["acting"])))
 
 
 def living(logs: Logs) -> list[Instance]:
--- a/pipitshed/lab/fleet/play.py
+++ b/pipitshed/lab/fleet/play.py
@@ -14,11 +14,12 @@
 
 from pipitshed.lab.accounts import account
 from pipitshed.lab.clients import Asked, HttpClients, draw
-from pipitshed.lab.fleet import oracles
+from pipitshed.lab.fleet import oracles, row_oracles
 from pipitshed.lab.fleet.faults import Faults
 from pipitshed.lab.fleet.oracles import Instance
 from pipitshed.lab.fleet.processes import HTTP_PORT, Process, ProcessError, Processes
-from pipitshed.lab.fleet.scenario import Fault, Scenario
+from pipitshed.lab.fleet.puts import Puts
+from pipitshed.lab.fleet.scenario import KEYS, Fault, Put, Scenario, name_of
 from pipitshed.lab.fleet.standins import Fleet as Planners
 from pipitshed.lab.planner import Behaviour
 
@@ -46,12 +47,14 @@
 class Play:
     """One play of a scenario in a folder of its own."""
 
-    def __init__(self, scenario: Scenario, faults: tuple[Fault, ...], seed: int, folder: Path) -> None:
-        self.scenario, self.faults, self.seed, self.folder = scenario, faults, seed, folder
+    def __init__(self, scenario: Scenario, faults: tuple[Fault, ...], seed: int, folder: Path,
+                 puts: tuple[Put, ...] = ()) -> None:
+        self.scenario, self.faults, self.seed, self.folder, self.puts = scenario, faults, seed, folder, puts
         self.log = Log(folder / "rig.jsonl")
         shape = scenario.fleet
         self.planners = Planners(Behaviour(), seed)
         self.processes = Processes(shape, folder, seed, self.planners.members, self.log)
+        self._reading = oracles.Reading(folder)
         self.asked: list[Asked] = []
         self.targets: dict[str, tuple[int, int]] = {}
         self._rng = random.Random(f"traffic:{seed}")
@@ -72,10 +75,17 @@
                 self.log("wrong", text=f"the fleet had not joined after {self.scenario.joined_within} s")
             traffic = asyncio.create_task(self._traffic())
             await asyncio.sleep(CALM)
-            faults = Faults(self.processes, self.log)
+            faults, puts = Faults(self.processes, self.log), Puts(self.processes, self.log)
+            putting = asyncio.create_task(puts.play(self.puts))
             await faults.play(self.faults)
             self.log("over")
             await self._agreed(self.scenario.settle_within)
+            await putting
+            if self.puts:
+                # In a fleet that has settled, a change must come in force.
+                last = await puts.one(Put(0.0, name_of(0), KEYS[0], "0.5"))
+                if last != "in force":
+                    self.log("wrong", text=f"the last change, with all faults over, was {last}")
             await asyncio.sleep(STAYS)
             traffic.cancel()
             await asyncio.gather(*self._asking)
@@ -105,8 +115,8 @@
         """How long until the events of all processes show the truth (s); None where they don't in time."""
         began = monotonic()
         while monotonic() - began <= within:
-            logs = oracles.read(self.folder)
-            if not oracles.settled(logs)[1]:
+            logs = self._reading.look()
+            if not oracles.settled(logs)[1] and not row_oracles.settled(logs):
                 return monotonic() - began
             await asyncio.sleep(LOOK)
         return None
@@ -171,6 +181,10 @@
         wrong += [f"{name}: {accounts['faults'][name][:2]}" for name in NEVER if accounts[name]]  # type: ignore[index]
         if after is not None and after > self.scenario.settle_within:
             wrong.append(f"settled {after:.2f} s after the last fault, not {self.scenario.settle_within}")
+        if self.puts:
+            wrong += (row_oracles.exact(logs, self.scenario.settle_within, self.scenario.fleet.zones)
+                      + row_oracles.backwards(logs) + row_oracles.settled(logs))
+            figures |= row_oracles.figures(logs)
         wrong += logs.outside + lost
         return {"scenario": self.scenario.name, "seed": self.seed, "processes": len(self.processes.all),
                 "faults": len(self.faults), "played": digest(logs.faults),
@@ -186,14 +200,14 @@
     return hashlib.blake2b(json.dumps(told, sort_keys=True).encode(), digest_size=6).hexdigest()
 
 
-async def play(scenario: Scenario, faults: tuple[Fault, ...], seed: int,
-               keep: Path | None = None) -> dict[str, Any]:
-    """Play these faults once; the logs stay in `keep` where one is given."""
+async def play(scenario: Scenario, faults: tuple[Fault, ...], seed: int, keep: Path | None = None,
+               puts: tuple[Put, ...] = ()) -> dict[str, Any]:
+    """Play these faults and changes once; the logs stay in `keep` where one is given."""
     if keep is not None:
         keep.mkdir(parents=True, exist_ok=True)
-        return await Play(scenario, faults, seed, keep).run()
+        return await Play(scenario, faults, seed, keep, puts).run()
     with tempfile.TemporaryDirectory(prefix="pipitshed-fleet-") as folder:
-        return await Play(scenario, faults, seed, Path(folder)).run()
+        return await Play(scenario, faults, seed, Path(folder), puts).run()
 
 
 def smallest(faults: tuple[Fault, ...], fails: Callable[[tuple[Fault, ...]], bool],
--- a/pipitshed/lab/fleet/processes.py
+++ b/pipitshed/lab/fleet/processes.py
@@ -96,7 +96,7 @@
         (self.folder / "peers.toml").write_text(
             f'name = "{self.name}"\nzone = "{self.zone}"\nlisten = "{self.real[0]}:{PEER_PORT}"\n'
             f'advertise = "{self.public[0]}:{PEER_PORT}"\ncluster = "rig"\nseeds = {json.dumps(seeds)}\n'
-            f'event-log = "{events}"\n\n[scales]\n{scales}\n')
+            f'event-log = "{events}"\nrows-file = "rows"\n\n[scales]\n{scales}\n')
 
     async def start(self, disk: bool = True, clock: float = 0.0) -> None:
         """Start the process and wait until it has joined and takes clients."""
--- /dev/null
+++ b/pipitshed/lab/fleet/puts.py
@@ -0,0 +1,72 @@
+"""Changes of settings during a play: put at a process, and followed until they are in force."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from time import monotonic
+from typing import TypeVar
+
+from pipitshed.lab.fleet.processes import Process, Processes
+from pipitshed.lab.fleet.scenario import Put
+from pipitshed.peers.codec import Codec
+from pipitshed.peers.commands import AskError, ask
+from pipitshed.peers.messages import AskForce, Force, PutDone, Said, ShownRows, ShowRows
+from pipitshed.peers.messages import Put as PutRow
+
+LOOK = 0.1  # s between questions whether one is in force
+WITHIN = 20.0  # s for which one is followed
+_Told = TypeVar("_Told", bound=Said)
+
+
+class Puts:
+    """The changes of one play."""
+
+    def __init__(self, processes: Processes, log: Callable[..., None]) -> None:
+        self._processes = processes
+        self._log = log
+        self._codec = Codec("rig")
+
+    async def play(self, puts: Iterable[Put]) -> None:
+        """Put each at its time, and return when all are in force, or refused, or their time is over."""
+        began = monotonic()
+        tasks = []
+        for put in puts:
+            await asyncio.sleep(max(0.0, began + put.at - monotonic()))
+            tasks.append(asyncio.create_task(self.one(put)))
+        await asyncio.gather(*tasks)
+
+    async def one(self, put: Put) -> str:
+        """Put one, and say how it ended."""
+        named = [one for one in self._processes.all if one.name == put.a and one.up]
+        up = named or [one for one in self._processes.all if one.up]
+        began, how, version = monotonic(), "unanswered", (0, 0)
+        try:
+            if up:
+                how, version = await self._follow(up[-1], put)
+        except AskError:
+            pass  # it was killed, or stands still: whether the change was taken is not known
+        finally:
+            self._log("put", key=put.key, value=put.value, at=put.at, process=up[-1].name if up else "",
+                      how=how, term=version[0], number=version[1], took=round(monotonic() - began, 3))
+        return how
+
+    async def _follow(self, process: Process, put: Put) -> tuple[str, tuple[int, int]]:
+        """Put a change; where another process writes the row, it is taken over."""
+        held = (await self._ask(process, ShowRows(put.key), ShownRows)).rows
+        over = (held[0].term, held[0].number) if held else (0, 0)
+        other = bool(held) and held[0].writer != process.name
+        done = await self._ask(process, PutRow(put.key, put.value.encode(), over, other), PutDone)
+        if done.why:
+            return "refused", (0, 0)
+        version = done.term, done.number
+        until = monotonic() + WITHIN
+        while monotonic() < until:
+            force = await self._ask(process, AskForce(put.key, *version), Force)
+            if force.in_force or force.superseded:
+                return "in force" if force.in_force else "superseded", version
+            await asyncio.sleep(LOOK)
+        return "not in force", version
+
+    async def _ask(self, process: Process, message: Said, wanted: type[_Told]) -> _Told:
+        return await asyncio.to_thread(ask, process.real, self._codec, message, wanted)
--- a/pipitshed/lab/fleet/scenario.py
+++ b/pipitshed/lab/fleet/scenario.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from pipitshed.lab.program import TENANTS
 from pipitshed.membership.timing import Scales
 from pipitshed.wire.toml import line_of
 
@@ -19,6 +20,11 @@
     "reorder": (0.1, 0.5), "drip": (400.0, 4000.0), "clock": (-3600.0, 3600.0)}
 
 
+# What drawn changes change: keys of the settings that the rig's processes have.
+KEYS = (*(f"tenant/{name}/{field}" for name in TENANTS for field in ("share", "allowancePerS")),
+        "class/quote/goalTime")
+
+
 class ScenarioError(ValueError):
     """The scenario can't be played; the text says why, with the line where it is known."""
 
@@ -45,6 +51,22 @@
     kinds: dict[Do, float] = {}  # and their weights
 
 
+class Put(msgspec.Struct, frozen=True, rename="kebab", forbid_unknown_fields=True):
+    """One change of a setting by row, put at a process; `at` counts as a fault's."""
+
+    at: float
+    a: str  # the process; another one where it does not take clients then
+    key: str
+    value: str
+
+
+class PutMix(msgspec.Struct, frozen=True, rename="kebab", forbid_unknown_fields=True):
+    """Changes drawn by the seed."""
+
+    count: int = 0
+    over: float = 10.0  # s
+
+
 class Shape(msgspec.Struct, frozen=True, rename="kebab", forbid_unknown_fields=True):
     """The processes, and the planners that they share."""
 
@@ -71,6 +93,8 @@
     traffic: Traffic = msgspec.field(default_factory=Traffic)
     fault: tuple[Fault, ...] = ()
     mix: Mix = msgspec.field(default_factory=Mix)
+    put: tuple[Put, ...] = ()
+    put_mix: PutMix = msgspec.field(default_factory=PutMix)
     settle_within: float = 5.0  # s after the last fault by which all views are the truth
     joined_within: float = 15.0  # s from the first start
     all_in_time: bool = False  # every request must be served in time: no process or planner is touched
@@ -98,6 +122,9 @@
         raise ScenarioError("fleet: 1 to 60 processes in 1 to 8 zones")
     names = {name_of(place) for place in range(made.fleet.processes)}
     zones = {zone_of(place, made.fleet.zones) for place in range(made.fleet.processes)}
+    for place, put in enumerate(made.put):
+        if put.a not in names:
+            raise ScenarioError(f"line {line_of(text, 'put', place, 'a')}: there is no {put.a!r}")
     for place, fault in enumerate(made.fault):
         known = zones if fault.do == "cut-zone" else names
         if unknown := [one for one in (*fault.a, *fault.b) if one not in known]:
@@ -128,8 +155,20 @@
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
-def script(scenario: Scenario, faults: tuple[Fault, ...]) -> str:
-    """A scenario with exactly these faults, as a file to be played again."""
+def drawn_puts(scenario: Scenario, seed: int) -> tuple[Put, ...]:
+    """The scripted changes of settings and those that the seed draws, in the order in which they are put."""
+    rng = random.Random(f"puts:{scenario.name}:{seed}:{scenario.fleet.processes}")
+    puts = list(scenario.put)
+    for number in range(scenario.put_mix.count):
+        key = rng.choice(KEYS)
+        value = rng.uniform(800.0, 2000.0) if key.startswith("class") else rng.uniform(0.1, 0.9)
+        puts.append(Put(round(rng.uniform(0.0, scenario.put_mix.over), 3),
+                        name_of(rng.randrange(scenario.fleet.processes)), key, f"{value:.3f}{number:03d}"))
+    return tuple(sorted(puts, key=lambda put: put.at))
+
+
+def script(scenario: Scenario, faults: tuple[Fault, ...], puts: tuple[Put, ...] = ()) -> str:
+    """A scenario with exactly these faults and changes, as a file to be played again."""
     lines = [f'name = "{scenario.name}"', f"settle-within = {scenario.settle_within}",
              f"all-in-time = {str(scenario.all_in_time).lower()}", "", "[fleet]",
              f"processes = {scenario.fleet.processes}", f"zones = {scenario.fleet.zones}",
@@ -137,9 +176,9 @@
              *(f"{name.replace('_', '-')} = {value}"
                for name, value in msgspec.structs.asdict(scenario.fleet.scales).items()),
              "", "[traffic]", f"rate = {scenario.traffic.rate}", f"book = {scenario.traffic.book}"]
-    for fault in faults:
-        lines += ["", "[[fault]]"]
-        for key, value in msgspec.to_builtins(fault).items():
+    for table, one in [("fault", fault) for fault in faults] + [("put", put) for put in puts]:
+        lines += ["", f"[[{table}]]"]
+        for key, value in msgspec.to_builtins(one).items():
             text = str(value).lower() if isinstance(value, bool) else (
                 f'"{value}"' if isinstance(value, str) else
                 "[" + ", ".join(f'"{one}"' for one in value) + "]" if isinstance(value, list | tuple) else
--- /dev/null
+++ b/tests/test_settings_rig.py
@@ -0,0 +1,136 @@
+"""The rig's part for settings by row: its oracles, and plays with processes that are cut off and killed."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from pipitshed.lab.fleet import oracles, row_oracles
+from pipitshed.lab.fleet.oracles import InForce, Instance, Logs
+from pipitshed.lab.fleet.play import play
+from pipitshed.lab.fleet.scenario import (
+    Fault,
+    Put,
+    PutMix,
+    Scenario,
+    ScenarioError,
+    Shape,
+    Traffic,
+    drawn_puts,
+    read,
+    script,
+)
+from pipitshed.membership.timing import Scales
+
+FAST = Scales(period=0.1, ack_within=0.05, sync=0.6, sync_with_gone=1.0, tombstones=30.0)
+SHARE, QUOTA = "tenant/andes-retail/share", "tenant/andes-retail/allowancePerS"
+GROUPS = [pytest.mark.xdist_group("rig-1"), pytest.mark.xdist_group("rig-2")]
+
+
+def case(puts: tuple[Put, ...], *faults: Fault, processes: int = 4) -> dict[str, Any]:
+    """The verdict on these changes and faults."""
+    scenario = Scenario("case", Shape(processes, 2, 2, scales=FAST), Traffic(20.0), settle_within=6.0)
+    return uvloop.run(play(scenario, faults, 1, None, puts))
+
+
+@GROUPS[0]
+def test_changes_while_their_writer_is_killed_and_another_lost_its_disk_and_its_clock() -> None:
+    puts = tuple(Put(at, "s1", SHARE, f"0.{place}") for place, at in enumerate((0.0, 0.4, 2.5, 3.0), 1))
+    told = case((*puts, Put(0.2, "s2", QUOTA, "80")), Fault(0.6, "kill", ("s1",), lasts=0.8),
+                Fault(0.7, "kill", ("s3",), lasts=0.5, disk=False),
+                Fault(1.8, "clock", ("s2",), lasts=1.5, amount=-3000.0))
+    assert told["wrong"] == [] and told["puts_in_force"] >= 3
+
+
+@GROUPS[1]
+def test_changes_in_both_halves_of_a_fleet_and_at_one_that_stands_still() -> None:
+    puts = (Put(0.5, "s1", SHARE, "0.1"), Put(3.0, "s2", SHARE, "0.2"), Put(3.2, "s1", QUOTA, "70"),
+            Put(6.0, "s3", SHARE, "0.3"))
+    told = case(puts, Fault(0.2, "cut-zone", ("zone-1",), lasts=4.0), Fault(5.0, "pause", ("s4",), lasts=2.5),
+                processes=5)
+    assert told["wrong"] == [] and told["puts_in_force"] >= 2
+
+
+# ---- the oracles
+
+
+def logs(**changes: Any) -> Logs:
+    """Two that act on a row from 10 s on, which the first says is in force at 20 s; and changes of this."""
+    one, two = Instance("s1", 0, 1, 11, 1.0, started=1.5), Instance("s2", 1, 1, 22, 1.0, started=1.5)
+    one.acting = [(10.0, {SHARE: (1, 2)})]
+    one.in_force = [InForce(20.0, SHARE, (1, 2), changes.pop("said", {"s1": 11, "s2": 22}))]
+    two.acting = [(9.0, {SHARE: (1, 1)}), (10.0, {SHARE: (1, 2)})]
+    for name, value in changes.items():
+        setattr(two, name, value)
+    return Logs([one, two], [], 30.0, 40.0, [])
+
+
+def test_in_force_is_wrong_where_one_named_or_one_in_touch_does_not_act() -> None:
+    late = [(9.0, {SHARE: (1, 1)}), (20.1, {SHARE: (1, 2)})]
+    assert row_oracles.exact(logs(), 6.0, 2) == []
+    assert "s2 did not act on it" in row_oracles.exact(logs(acting=late), 6.0, 2)[0]
+    assert "s2 did not act" in row_oracles.exact(logs(life=23), 6.0, 2)[0]  # said of another life
+    alone = {"s1": 11}
+    assert row_oracles.exact(logs(said=alone), 6.0, 2) == []  # it acts, though it is not named
+    assert "without s2" in row_oracles.exact(logs(said=alone, acting=late), 6.0, 2)[0]
+    for excuse in ({"started": 16.0}, {"away": [(12.0, 15.0)]}, {"ended": 20.5}):
+        assert row_oracles.exact(logs(said=alone, acting=late, **excuse), 6.0, 2) == []
+    for excuse in ({"away": [(2.0, 13.0)]}, {"ended": 22.0}):
+        assert row_oracles.exact(logs(said=alone, acting=late, **excuse), 6.0, 2) != []
+    for fault, excused in (({"do": "cut", "a": ["s2"], "t": 12.0, "for": 3.0}, True),
+                           ({"do": "cut", "a": ["s2"], "t": 2.0, "for": 3.0}, False),
+                           ({"do": "loss", "a": ["s3"], "b": ["s4"], "t": 19.0, "for": 3.0}, False),
+                           ({"do": "cut-zone", "a": ["zone-2"], "t": 19.0, "for": 3.0}, True),
+                           ({"do": "kill", "a": ["s4"], "t": 19.0}, False)):
+        held = logs(said=alone, acting=late)
+        held.faults.append(fault)
+        assert (row_oracles.exact(held, 6.0, 2) == []) is excused, fault
+
+
+def test_going_back_is_wrong_in_one_life_and_over_a_restart_that_found_its_folder() -> None:
+    assert row_oracles.backwards(logs()) == []
+    back = [(9.0, {SHARE: (1, 2)}), (10.0, {SHARE: (1, 1)})]
+    assert "went back" in row_oracles.backwards(logs(acting=back))[0]
+    for rows, disk, wrong in (({}, True, True), ({}, False, False), ({SHARE: (1, 1)}, True, True),
+                              ({SHARE: (2, 3)}, True, False)):
+        held = logs()
+        held.instances.append(Instance("s2", 1, 2, 33, 25.0, started=25.5, disk=disk,
+                                       acting=[(25.4, rows), (25.6, {SHARE: (1, 2)})][:1 + (rows == {})]))
+        assert ("started with" in "".join(row_oracles.backwards(held))) is wrong, rows
+
+
+def test_in_the_end_all_act_on_the_same_rows_and_on_none_older_than_was_in_force() -> None:
+    assert row_oracles.settled(logs()) == []
+    assert "s2 acts on" in row_oracles.settled(logs(acting=[]))[0]
+    gone = logs(acting=[(9.0, {SHARE: (1, 1)})])
+    gone.instances[0].acting = [(9.0, {SHARE: (1, 1)})]
+    assert row_oracles.settled(gone) == [f"{SHARE} (1, 2) was in force, and is gone"]
+
+
+def test_logs_are_read_on_and_half_a_line_is_left_for_the_next_look(tmp_path: Path) -> None:
+    rig, events = tmp_path / "rig.jsonl", tmp_path / "e1"
+    rig.write_text(json.dumps({"t": 1.0, "event": "spawn", "process": "s1", "place": 0, "start": 1,
+                               "events": "e1"}) + "\n")
+    reading = oracles.Reading(tmp_path)
+    assert [one.name for one in reading.look().instances] == ["s1"]
+    line = json.dumps({"t": 2.0, "event": "acting", "rows": [[SHARE, 1, 1]], "refused": [["k", "no"]]}) + "\n"
+    events.write_text(line[:20])
+    assert reading.look().instances[0].acting == []
+    with events.open("a") as log:
+        log.write(line[20:] + line)
+    [one] = reading.look().instances
+    assert one.acting == [(2.0, {SHARE: (1, 1)})] * 2 and one.refused == [(2.0, "k", "no")] * 2
+    assert len(reading.look().instances[0].acting) == 2  # nothing twice
+
+
+def test_changes_are_drawn_by_the_seed_and_a_script_puts_them_again() -> None:
+    scenario = Scenario("drawn", Shape(5), put_mix=PutMix(8, 5.0))
+    assert len(drawn_puts(scenario, 3)) == 8
+    assert drawn_puts(scenario, 3) == drawn_puts(scenario, 3) != drawn_puts(scenario, 4)
+    assert drawn_puts(read(script(scenario, (), drawn_puts(scenario, 3))), 9) == drawn_puts(scenario, 3)
+    with pytest.raises(ScenarioError, match="line 4: there is no 's9'"):
+        read('name = "x"\n[[put]]\nat = 1.0\na = "s9"\nkey = "k"\nvalue = "1"')
