A changed class is known by name where messages are translated or a plan is followed

A class that SIGHUP (or, now, a row) changes gets a number of its own. The parts that translate and the plan's follower knew only the numbers of the start: after such a file each request of the class got 500 (IndexError in the translator), and with a plan the decisions raised on each of them, so that the client heard nothing. Scheduler now hands both one list of names that grows with the book; the follower eases by name and gives each number its name's weights, at once where there are more numbers.

tests/test_placement.py: the story of a plan that is followed goes on with a changed class (an addition; nothing of it was eased).

--- a/pipitshed/placement/follow.py
+++ b/pipitshed/placement/follow.py
@@ -24,10 +24,10 @@
     """The plan in force and how far it is eased in."""
 
     zone: str
-    classes: Sequence[str]
+    classes: Sequence[str]  # by number; one that was changed stands here again by the same name
     cold: float = 0.0  # ms for which a planner that has just started is cold
     plan: Plan | None = None
-    _eased: list[dict[WorkerId, float]] = field(default_factory=list)  # by class: parts in force
+    _eased: dict[str, dict[WorkerId, float]] = field(default_factory=dict)  # by class: parts in force
     moving: bool = False  # the last step did not come to the plan's own parts yet
 
     def offer(self, plan: Plan, now: float, listed: Iterable[Entry]) -> None:
@@ -54,12 +54,12 @@
             self._eased.clear()
             return None
         ready = {entry.worker: entry for entry in entries if entry.state is State.READY}
-        wanted = [self._warm(self._wanted(self.plan, name, ready), ready, now) for name in self.classes]
-        if not self._eased:
-            self._eased = [self._listed(ready) for _ in self.classes]
+        listed, names = self._listed(ready), dict.fromkeys(self.classes)
+        wanted = {name: self._warm(self._wanted(self.plan, name, ready), ready, now) for name in names}
         self.moving = False
-        self._eased = [self._ease(old, new, ready) for old, new in zip(self._eased, wanted, strict=True)]
-        return {worker: tuple(SCALE * parts.get(worker, 0.0) for parts in self._eased) for worker in ready}
+        self._eased = {name: self._ease(self._eased.get(name, listed), wanted[name], ready) for name in names}
+        parts = [self._eased[name] for name in self.classes]
+        return {worker: tuple(SCALE * held.get(worker, 0.0) for held in parts) for worker in ready}
 
     @staticmethod
     def _listed(ready: Mapping[WorkerId, Entry]) -> dict[WorkerId, float]:
--- a/pipitshed/routes/plan.py
+++ b/pipitshed/routes/plan.py
@@ -43,6 +43,11 @@
 
     def _step(self) -> None:
         self._timer = self._loop.call_later(EVERY, self._step)
+        self.weigh()
+
+    def weigh(self) -> None:
+        """Give the route table the weights of now. Guards, after new classes, against a job of a number that
+        no planner has a weight for."""
         held = self.follower.plan
         self._table.plan(self.follower.weights(self._table.entries(), time.time()))
         if held is not None and self.follower.plan is None:
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -66,6 +66,7 @@
         self._started = loop.time()
         self.config = config
         self.book = ClassBook.first(config.classes, config.settings.classes)
+        self._names = list(self.book.names)  # of all class numbers, for the parts that tell them by name
         self.conf_loaded = self.conf_invalid = 0
         self.core = Core(config.settings, config.seed, loop)
         if config.trace:
@@ -73,7 +74,7 @@
             self.core.trace.settings((config.raw or {}).get("settings"))
         self.carrier = HttpCarrier(self.core, config.fields, loop, self._left)
         zones, kinds = self._zones, self._kinds = Names(config.zones), Names(config.kinds)
-        self.translation = self._translation(config, front) if front.translation is not None else None
+        self.translation = self._translation(front) if front.translation is not None else None
         carriers = self.translation.interfaces if self.translation is not None else None
         self.discovery: Discovery | None = None
         self.dns_sd: DnsSd | None = None
@@ -160,18 +161,18 @@
         return GearmanFront(self.core, carrier, functions, self._loop, label,
                             int(config.sockets * GEARMAN_PART), self.drain)
 
-    def _translation(self, config: Config, front: Front) -> TranslationParts:
+    def _translation(self, front: Front) -> TranslationParts:
         # Imported where it is asked for: the platform's start and memory stay as they are.
         from pipitshed.translating import TranslationParts
         assert front.translation is not None
-        return TranslationParts(self.core, self.carrier, front.translation, config.classes, self._loop)
+        return TranslationParts(self.core, self.carrier, front.translation, self._names, self._loop)
 
     def _plan(self, config: Config, front: Front) -> FollowedPlan:
         # Imported where it is asked for, as above.
         from pipitshed.routes.plan import FollowedPlan
         assert front.plan is not None
         zone = config.zones[config.settings.zone] if config.zones else ""
-        return FollowedPlan(front.plan, zone, config.classes, config.settings.rules.cold, self.core.routes,
+        return FollowedPlan(front.plan, zone, self._names, config.settings.rules.cold, self.core.routes,
                             self._loop)
 
     def _fleet(self, config: Config, peers: Peers) -> Fleet:
@@ -240,6 +241,10 @@
         classes = [cls if cls.kind is None or cls.kind >= len(config.kinds) else
                    replace(cls, kind=self._kinds.place(config.kinds[cls.kind])) for cls in told.classes]
         self.book, change = self.book.retune(config.classes, classes, now)
+        more = len(self.book.names) > len(self._names)
+        self._names[:] = self.book.names
+        if self.plan is not None and more:
+            self.plan.weigh()
         settings = replace(told, classes=self.book.classes, zone=zone)
         self.core.retune(settings)
         self.carrier.retune(settings.limits, config.fields)
--- a/pipitshed/translation/translator.py
+++ b/pipitshed/translation/translator.py
@@ -31,7 +31,7 @@
     """All codecs and chains of one translation file, made once."""
 
     def __init__(self, file: TranslationFile, classes: Sequence[str]) -> None:
-        self._classes = list(classes)
+        self._classes = classes
         self.clients = file.clients
         self.forms = {form.version: form for form in file.forms}
         self.interfaces = {1: file.interfaces.http, 2: file.interfaces.grpc}
--- a/tests/test_old_clients.py
+++ b/tests/test_old_clients.py
@@ -208,3 +208,21 @@
 def test_schemas_are_made_from_the_types(which: str) -> None:
     code, text = call("schema", which)
     assert code == 0 and json.loads(text)["$schema"].endswith("2020-12/schema")
+
+
+@story
+async def test_a_class_that_is_changed_while_messages_are_translated_is_still_known_by_name() -> None:
+    """The failure met: a changed class has a number of its own, and the parts that translate knew only the
+    numbers of the start."""
+    async with (GrpcPlanner() as newer, Planner("p2", act=lambda run: run.say("done", result=PLAN)) as older,
+                program(Row("p1", newer.port, 2), Row("p2", older.port, 1), front=TRANSLATE) as running):
+        config = json.loads(running.config.read_text())
+        config["settings"]["services"][0] = config["settings"]["services"][0] | {"goalTime": 2000.0}
+        running.reload(json.dumps(config))
+        await running.logged("changed quote")
+        client = await HttpClient.to(running.port)
+        for number in range(20):
+            client.ask(f"a{number}", body=JOB)
+            assert (await client.answer())[0] == 200
+        assert {call.headers["x-class"] for call in newer.calls} == {"quote"} and older.runs
+        assert {run.headers["x-class"] for run in older.runs} == {"quote"}
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -251,6 +251,11 @@
             await running.logged("number 2 is followed")
             await asyncio.sleep(10.5)
             assert (await ask(30))[0] == 30
+            config = json.loads(running.config.read_text())
+            config["settings"]["services"][0] = config["settings"]["services"][0] | {"goalTime": 2000.0}
+            running.reload(json.dumps(config))  # the class has another number from now on
+            await running.logged("changed quote")
+            assert (await ask(10))[0] == 10
     finally:
         path.unlink(missing_ok=True)
         folder.rmdir()
