Numbers of changed classes are given anew; no row changes a class of Gearman's

Gearman's functions and workers know classes by the numbers of the start, so a row on such a class is refused with that reason, instead of being said to be in force where it is not. A refusal names the row that is refused: one of an older row, under way when a newer one was put, made `put` end as refused.

--- a/pipitshed/peers/rows.py
+++ b/pipitshed/peers/rows.py
@@ -57,6 +57,7 @@
 
     config: Callable[[], Config]  # in force
     retune: Callable[[Config], object]
+    fixed: frozenset[str] = frozenset()  # classes that it can't change while it runs
 
 
 class Carrier(Protocol):
@@ -90,7 +91,6 @@
         self._path, self._secret = peers.rows_file, bool(peers.secret)
         self._confirmations = Confirmations(me.name, me.life, self.table,
                                             random.Random(secrets.randbits(64)))
-        self._considered: dict[str, Row] = {}  # the rows that were last taken up, by key
         self._since = loop.time()
         self._busy = self._changed = self._closed = False
         self._unsaved = ""
@@ -170,24 +170,24 @@
 
     def over(self, config: Config) -> Config:
         """A file that is read anew, with the rows over it."""
-        if not self._considered:
-            return config
         state = self._confirmations.state
-        laid = self._lay(config, tuple(self._considered.values()), state.digest, state.acted, anew=True)
+        if not state.held:
+            return config
+        laid = self._lay(config, tuple(state.held.values()), state.digest, state.acted, anew=True)
         return resettled(config, laid.raw["settings"])
 
     def _lay(self, config: Config, rows: tuple[Row, ...], digest: bytes, stood: Mapping[str, Row],
              anew: bool = False) -> Laid:
         """Rows over a file; who has to know is told, and so is the log."""
         assert config.raw is not None
-        laid, before = overlay(config.raw, rows, stood), self._confirmations.state
-        changed = [row for row in rows if row != self._considered.get(row.key)
+        laid, before = overlay(config.raw, rows, stood, self._tuned.fixed), self._confirmations.state
+        changed = [row for row in rows if row != before.held.get(row.key)
                    or laid.refused.get(row.key) != before.refused.get(row.key)]
-        self._considered = {row.key: row for row in rows}
         now = self._loop.time()
         if changed:
             self._since = now
-        self._confirmations.acts(now, State(digest, laid.acted, laid.refused), changed, len(self._living()))
+        state = State(digest, {row.key: row for row in rows}, laid.acted, laid.refused)
+        self._confirmations.acts(now, state, changed, len(self._living()))
         acted = [laid.acted[row.key] for row in changed if row.key in laid.acted]
         self._events.write("acting", digest=digest.hex(),
                            rows=[[row.key, row.term, row.number] for row in acted],
@@ -234,7 +234,7 @@
             else:
                 raw = self._tuned.config().raw
                 assert raw is not None
-                check(raw, Row(message.key, 1, 1, self._me.name, message.body))
+                check(raw, Row(message.key, 1, 1, self._me.name, message.body), self._tuned.fixed)
                 row = self.table.put(message.key, message.body, self._me.name, message.take_over)
         except (RowError, RefusedRowError) as error:
             reply(PutDone(self._me.name, str(error)))
@@ -279,7 +279,7 @@
         state, view = self._confirmations.state, self._carrier.membership.view
         members = tuple((word.name, f"{word.host}:{word.port}", word.state.name.lower())
                         for word in sorted(view, key=lambda word: word.name))
-        return Status(self._me.name, state.digest.hex(), len(self._considered),
+        return Status(self._me.name, state.digest.hex(), len(state.held),
                       round(self._loop.time() - self._since, 3), self.table.caught_up, self._unsaved,
                       tuple(sorted(state.refused.items())), members)
 
--- a/pipitshed/replication/acting.py
+++ b/pipitshed/replication/acting.py
@@ -34,7 +34,7 @@
     at: int  # counts what the sender has acted on so far: of two messages the later one holds
     digest: bytes
     rows: tuple[int, ...] = ()
-    refused: tuple[tuple[str, str], ...] = ()  # key and reason
+    refused: tuple[tuple[int, str], ...] = ()  # rows by their content, and reasons
     more: bool = False
 
 
@@ -50,6 +50,7 @@
     """What one scheduler acts on."""
 
     digest: bytes = b""  # of the table that it was made from
+    held: Mapping[str, Row] = field(default_factory=dict)  # what that held, by key
     acted: Mapping[str, Row] = field(default_factory=dict)  # by key; deleted rows count
     refused: Mapping[str, str] = field(default_factory=dict)  # why, by key
 
@@ -125,7 +126,8 @@
         first = sorted(refused, key=lambda key: key not in chosen)
         return Acting(self._me, self._life, self._at, self.state.digest,
                       tuple(acted[key].content for key in chosen if key in acted),
-                      tuple((key, refused[key][:REASON_LIMIT]) for key in first[:REFUSED_MOST]),
+                      tuple((self.state.held[key].content, refused[key][:REASON_LIMIT])
+                            for key in first[:REFUSED_MOST]),
                       len(refused) > REFUSED_MOST)
 
     # ---- as a writer, or whoever is asked
@@ -152,11 +154,11 @@
         refused, rows = dict(message.refused), set(message.rows)
         for key, watch in self._watches.items():
             if watch.content in rows or (
-                    all_of_it and key not in refused and self._table.get(key) == watch.row):
+                    all_of_it and watch.content not in refused and self._table.get(key) == watch.row):
                 watch.lives[message.sender] = message.life
                 watch.refused.pop(message.sender, None)
-            elif key in refused:
-                watch.refused[message.sender] = message.life, refused[key]
+            elif watch.content in refused:
+                watch.refused[message.sender] = message.life, refused[watch.content]
                 watch.lives.pop(message.sender, None)
 
     def standing(self, now: float, row: Row, living: Living) -> Standing:
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -107,7 +107,7 @@
         if config.mgmt is not None:
             self.mgmt = MgmtFront(self.ready, self.figures, loop)
             self.mgmt_listener = Listener(config.mgmt, self.mgmt.connection, loop)
-        self.fleet = self._fleet(config, peers) if peers is not None else None
+        self.fleet = self._fleet(config, front, peers) if peers is not None else None
 
     def _left(self) -> int:
         """How many descriptors clients leave for planners' connections."""
@@ -175,12 +175,14 @@
         return FollowedPlan(front.plan, zone, self._names, config.settings.rules.cold, self.core.routes,
                             self._loop)
 
-    def _fleet(self, config: Config, peers: Peers) -> Fleet:
+    def _fleet(self, config: Config, front: Front, peers: Peers) -> Fleet:
         # Imported where it is asked for, as above; only the option `--fleet` asks.
         from pipitshed.peers.fleet import Fleet
         from pipitshed.peers.rows import Tuned
         zone = config.zones[config.settings.zone] if config.zones else ""
-        return Fleet(peers, zone, self._loop, Tuned(lambda: self.config, self._retune))
+        # Gearman's functions and workers know the classes by the numbers of the start.
+        fixed = frozenset(name for name, *_ in front.functions.values()) if front.listen else frozenset()
+        return Fleet(peers, zone, self._loop, Tuned(lambda: self.config, self._retune, fixed))
 
     def _hurry(self, config: Config) -> None:
         if self.discovery is not None and config.settings.list_pushed:
--- a/pipitshed/tuning/classes.py
+++ b/pipitshed/tuning/classes.py
@@ -2,16 +2,19 @@
 
 A class is numbered by its name and its definition. A class that a file brings anew, or changes, gets the next
 number; one that it drops keeps its number, so that jobs under way keep the class that they were taken with,
-and is still taken at the door for a grace, as clients hear of the change no sooner than of new classes.
+and is still taken at the door for a grace, as clients hear of the change no sooner than of new classes. A
+number that no job can have any more is given anew to its name where the limits alone have changed, as
+settings by row may change them many times a day.
 """
 
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from pipitshed.decisions.interface import JobClass
 
+REST = 60.0  # s beyond its deadline and window for which a number that the door no longer gives is left alone
 GRACE = 1.2  # s for which a class that a file dropped is still taken: new ones come into use so late
 
 
@@ -37,6 +40,7 @@
     names: tuple[str, ...]
     door: dict[str, int]  # the classes of the file in force
     leaving: dict[str, tuple[int, float]] = field(default_factory=dict)  # dropped: number, taken until
+    idle: dict[int, float] = field(default_factory=dict)  # numbers that the door gives no more: since when
 
     @classmethod
     def first(cls, names: Sequence[str], classes: Sequence[JobClass]) -> ClassBook:
@@ -65,9 +69,12 @@
             same = next((place for place in range(len(every))
                          if called[place] == name and every[place] == job_class), None)
             if same is None:
-                same = len(every)
-                every.append(job_class)
-                called.append(name)
+                same = self._rested(name, job_class, now)
+                if same is None:
+                    same = len(every)
+                    every.append(job_class)
+                    called.append(name)
+                every[same] = job_class
             door[name] = same
             if before is None:
                 added.append(name)
@@ -77,5 +84,17 @@
         dropped = [name for name in self.door if name not in door]
         for name in dropped:
             leaving[name] = (self.door[name], now + grace)
-        return (ClassBook(tuple(every), tuple(called), door, leaving),
+        given = {*door.values(), *(place for place, _ in leaving.values())}
+        idle = {place: self.idle.get(place, now) for place in range(len(every)) if place not in given}
+        return (ClassBook(tuple(every), tuple(called), door, leaving, idle),
                 Change(tuple(added), tuple(changed), tuple(dropped)))
+
+    def _rested(self, name: str, job_class: JobClass, now: float) -> int | None:
+        """A number of this name that no job can have any more, whose class differs in its limits alone."""
+        for place, since in self.idle.items():
+            held = self.classes[place]
+            if (self.names[place] == name and now - since > (held.deadline + held.window) / 1000 + REST
+                    and replace(held, aim=job_class.aim, deadline=job_class.deadline, worth=job_class.worth,
+                                late_worth=job_class.late_worth, stretch=job_class.stretch) == job_class):
+                return place
+        return None
--- a/pipitshed/tuning/rows.py
+++ b/pipitshed/tuning/rows.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -35,9 +35,11 @@
     refused: dict[str, str]  # why, by key
 
 
-def overlay(raw: dict[str, Any], rows: Iterable[Row], stood: Mapping[str, Row] | None = None) -> Laid:
+def overlay(raw: dict[str, Any], rows: Iterable[Row], stood: Mapping[str, Row] | None = None,
+            fixed: Container[str] = ()) -> Laid:
     """These rows laid over a file as it was read, which is not changed. Where one is refused, the row that
-    was acted on before (`stood`, by key) stands; where there was none, the file's value does."""
+    was acted on before (`stood`, by key) stands; where there was none, the file's value does. Classes that
+    are `fixed` can't be changed here."""
     places = {kind: _places(raw, kind) for kind in _LISTS}
     values: dict[tuple[str, int], dict[str, float]] = {}
     acted: dict[str, Row] = {}
@@ -50,7 +52,7 @@
                 acted[one.key] = one
                 break
             try:
-                kind, place, field, value = _checked(raw, places, one)
+                kind, place, field, value = _checked(raw, places, one, fixed)
             except RefusedRowError as error:
                 refused.setdefault(one.key, str(error))
                 continue
@@ -66,9 +68,9 @@
     return Laid(raw | {"settings": told}, acted, refused)
 
 
-def check(raw: dict[str, Any], row: Row) -> float:
+def check(raw: dict[str, Any], row: Row, fixed: Container[str] = ()) -> float:
     """The value that a row asks for, where the file in force lets it; RefusedRowError else."""
-    return _checked(raw, {kind: _places(raw, kind) for kind in _LISTS}, row)[3]
+    return _checked(raw, {kind: _places(raw, kind) for kind in _LISTS}, row, fixed)[3]
 
 
 def file_value(raw: dict[str, Any], key: str) -> float | None:
@@ -101,10 +103,12 @@
 
 
 def _checked(raw: dict[str, Any], places: dict[str, dict[str, list[int]]],
-             row: Row) -> tuple[str, int, str, float]:
+             row: Row, fixed: Container[str]) -> tuple[str, int, str, float]:
     if not row.readable:
         raise RefusedRowError(f"it is of a newer program (form {row.form})")
     kind, name, field = _parts(row.key)
+    if kind == "class" and name in fixed:
+        raise RefusedRowError(f"Gearman's functions keep the limits that {name!r} had at the start")
     found = places[kind].get(name, [])
     if len(found) != 1:
         raise RefusedRowError(f"the settings in force have {'no' if not found else 'more than one'} {kind} "
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -54,6 +54,23 @@
         assert door == dict(zip(names, classes, strict=True))
 
 
+def test_a_day_of_changed_limits_needs_as_many_numbers_as_jobs_can_still_have() -> None:
+    book, given = ClassBook.first(["quote", "book"], [QUOTE, BOOK]), dict[int, tuple[float, JobClass]]()
+    for step in range(7800):
+        now, goal = step * 11.0, 1000.0 + step
+        book, _ = book.retune(["quote", "book"], [JobClass(goal, 5000.0, effect=Effect.SAFE), BOOK], now)
+        number = book.door["quote"]
+        if number in given:  # no job that was taken with it is left
+            assert now - given[number][0] > 5.0 + 60.0
+        for place, (last, job_class) in list(given.items()):
+            if now - last <= 65.0:
+                assert book.classes[place] == job_class
+        given[number] = now, book.classes[number]
+    assert len(book.classes) < 12 and set(book.names) == {"quote", "book"}
+    other = JobClass(1.0, 5000.0, effect=Effect.UNSAFE)  # no limit alone: a number of its own
+    assert book.retune(["quote"], [other], 1e6)[0].door["quote"] == len(book.classes)
+
+
 def test_a_key_that_the_file_in_force_has_must_be_there() -> None:
     before = {"name": "n0", "settings": {"permissions": {"maxAttempts": 3}, "services": [
         {"name": "quote", "deadline": 5000, "goalTime": 2500, "repeat": "retryable"},
--- a/tests/test_settings_fleet.py
+++ b/tests/test_settings_fleet.py
@@ -16,17 +16,18 @@
 
 import pytest
 from click.testing import CliRunner
-from loopback import SETTINGS, Catalog, HttpClient, Planner, Program, Run, figures, program, story
+from loopback import FRONT, SETTINGS, Catalog, HttpClient, Planner, Program, Run, figures, program, story
 from test_peers import peers, until
 
 from pipitshed.cli import main
-from pipitshed.config import Config, load
+from pipitshed.config import Config, load, load_front
 from pipitshed.peers import rows as fleet_rows
 from pipitshed.peers import rowsfile
 from pipitshed.peers.codec import Codec
 from pipitshed.peers.fleet import Fleet
 from pipitshed.peers.messages import AskForce, Put, PutDone, Said
 from pipitshed.replication.acting import Acting
+from pipitshed.scheduler import Scheduler
 
 SHARE, DEADLINE = "tenant/andes-retail/share", "class/quote/deadline"
 
@@ -251,6 +252,22 @@
         assert rows._force(AskForce(SHARE, 1, 1)).in_force
 
 
+def test_a_class_that_gearmans_functions_have_is_not_changed_by_row(tmp_path: Path) -> None:
+    async def check() -> None:
+        made, front = config(tmp_path), tmp_path / "front.toml"
+        front.write_text(FRONT)
+        scheduler = Scheduler(made, load_front(front, made), asyncio.get_running_loop(), peers("s0"))
+        rows, answers = scheduler.fleet.rows, list[Any]()  # type: ignore[union-attr]
+        scheduler.fleet.reply = Mock(return_value=answers.append)  # type: ignore[method-assign, union-attr]
+        rows.hear(Put(DEADLINE, b"300", (0, 0)), ("127.0.0.1", 9))  # type: ignore[union-attr]
+        assert "Gearman's functions" in answers[0].why
+        scheduler.fleet.close()  # type: ignore[union-attr]
+        for listener in scheduler.listeners:
+            listener.close()
+
+    asyncio.run(check())
+
+
 # ---- with real processes
 
 
--- a/tests/test_settings_rows.py
+++ b/tests/test_settings_rows.py
@@ -98,6 +98,11 @@
     assert overlay(raw(), [row(GOAL, b"1500")], laid.acted).acted == stood
 
 
+def test_a_class_of_gearmans_functions_is_refused_and_no_other() -> None:
+    laid = overlay(raw(), [row(GOAL, b"1500"), row("class/book/goalTime", b"1500"), row()], fixed={"book"})
+    assert set(laid.acted) == {GOAL, SHARE} and "Gearman's" in laid.refused["class/book/goalTime"]
+
+
 def test_a_name_that_stands_twice_or_holds_a_slash_is_no_riddle() -> None:
     twice = raw(tenants=SETTINGS["tenants"] * 2)
     assert "more than one tenant" in overlay(twice, [row()]).refused[SHARE]
@@ -177,7 +182,8 @@
         told = {key: "no such tenant" for key in refused}
         changed = [one for one in self.table if acted.get(one.key) != before.acted.get(one.key)
                    or told.get(one.key) != before.refused.get(one.key)]
-        self.one.acts(now, State(self.table.digest(), acted, told), changed, fleet)
+        held = {one.key: one for one in self.table}
+        self.one.acts(now, State(self.table.digest(), held, acted, told), changed, fleet)
 
     def acts_on(self, one: Row) -> bool:
         """Or on one that took its place since."""
@@ -247,6 +253,16 @@
     assert all(writer.one.standing(0.0, other, living).in_force for other in others)
 
 
+def test_a_refusal_of_an_older_row_says_nothing_of_a_newer_one() -> None:
+    writer, member, _, living = pair()
+    member.act(0.0, 2, SHARE)
+    newer = writer.table.put(SHARE, b"2", "w")
+    writer.act(0.0, 2)
+    writer.one.watch(0.0, newer)
+    writer.one.heard(member.one.asked(AskActing("w", (SHARE,))), living)
+    assert writer.one.standing(0.0, newer, living).missing == (("m", ""),)  # it has not told of this one
+
+
 def test_one_that_says_nothing_is_asked_again_and_again_while_anyone_waits() -> None:
     writer, _, one, living = pair()
     asked = []
