Three walks over a job's attempts less for each job, in place of what forgetting added

Need: the CPU of an ordinary job must not rise. Change: the first attempt that may have run is sought by a loop in place of a generator, a job notes that it was served, and what is out at its end is asked once.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -94,26 +94,26 @@
     """One send of a job."""
 
     __slots__ = ("worker", "sent_at", "out", "started", "news_at", "heard_at", "counted", "cancelled",
-                 "unrun", "served")
+                 "unrun")
 
     def __init__(self, worker: Worker, now: float) -> None:
         self.worker = worker
         self.sent_at = self.news_at = self.heard_at = now
         self.out = True
-        self.started = self.counted = self.cancelled = self.unrun = self.served = False
+        self.started = self.counted = self.cancelled = self.unrun = False
 
 
 class Job:
     """One client's job until its final answer and its last outcome."""
 
-    __slots__ = ("id", "cls", "number", "deadline", "came", "attempts", "over", "stream", "resume",
+    __slots__ = ("id", "cls", "number", "deadline", "came", "attempts", "over", "stream", "served", "resume",
                  "failures", "slots", "unsure", "work", "wake", "promised", "broken", "failed", "fits")
 
     def __init__(self, event: Submitted, cls: JobClass, now: float) -> None:
         self.id, self.cls, self.number, self.came = event.job, cls, event.job_class, now
         self.deadline = now + event.time_left
         self.attempts: list[Attempt] = []
-        self.over = self.stream = False
+        self.over = self.stream = self.served = False
         self.resume = now
         self.failures = 0
         self.promised = 0  # attempts that it gets whatever becomes of f: one was called off for the next
@@ -124,6 +124,13 @@
     def outs(self) -> list[Attempt]:
         return [attempt for attempt in self.attempts if attempt.out]
 
+    def first(self) -> Attempt | None:
+        """The first attempt that may have run."""
+        for attempt in self.attempts:
+            if not attempt.unrun:
+                return attempt
+        return None
+
 
 class Dispatcher:
     """One dispatcher: events in, actions out; no clock and no I/O of its own."""
@@ -381,7 +388,7 @@
         """(send again, only to these workers, refuse) by the class's effect. All paths ask here: nothing
         that may have run is repeated beyond its group and window, or refused as if it had not."""
         limits, cls = self.settings.limits, job.cls
-        first = next((attempt for attempt in job.attempts if not attempt.unrun), None)
+        first = job.first()
         free = len(job.attempts) < limits.max_attempts and not job.over and not job.stream
         if not limits.parallel and any(attempt.out for attempt in job.attempts):
             free = False
@@ -398,7 +405,7 @@
         """What is left of the window in which a keyed job may be repeated: a connection may come up late."""
         if job.cls.effect is not Effect.KEYED:
             return 0.0
-        first = next((attempt for attempt in job.attempts if not attempt.unrun), None)
+        first = job.first()
         if first is None or first.sent_at == self.now:
             return 0.0
         return max(self.settings.tick, first.sent_at + job.cls.window - 2 * self.settings.tick - self.now)
@@ -611,12 +618,12 @@
     def _over(self, job: Job) -> None:
         job.over = True
         if job.attempts or job.failures:
-            served = any(attempt.served for attempt in job.attempts)
-            self.served += MEAN_SMOOTHING * (served - self.served)
+            self.served += MEAN_SMOOTHING * (job.served - self.served)
         self.waiting.pop(job.id, None)
-        for attempt in job.outs():
+        outs = job.outs()
+        for attempt in outs:
             self._cancel(job, attempt)
-        if not job.outs():
+        if not outs:
             self.jobs.pop(job.id, None)
 
     # ---- what comes back
@@ -629,7 +636,8 @@
         worker = attempt.worker
         attempt.out = False
         worker.out -= 1
-        attempt.unrun, attempt.served = event.outcome in UNRUN, event.outcome is Outcome.OK
+        attempt.unrun = event.outcome in UNRUN
+        job.served = job.served or event.outcome is Outcome.OK
         self._report(worker, event.report)
         if attempt.started:
             worker.held = max(0.0, worker.held - job.slots)
