A class that a reload brings under a plan is drawn by the list, not IndexError

Cause: a plan's weights have a place for each class of the start; a class that a reload adds or changes gets the next number, and `worker.planned[number]` raised for each of its jobs, with the rest of that turn's events lost. Change: beyond the plan's classes the list's weights count. The new test raised IndexError without the line. Left: the plan's own parts for a changed class are not found again, as `routes.plan` keeps the classes of the start.

--- a/pipitshed/decisions/rules.py
+++ b/pipitshed/decisions/rules.py
@@ -297,7 +297,8 @@
                 self.settings.classes[number].kind not in (None, worker.kind)):
             return None
         listed = 0.0 if self.settings.weights is Weights.NONE else worker.weight
-        return worker.planned[number] if worker.planned else 0.0, listed, 1.0
+        planned = worker.planned or ()  # which knows no class that came after it
+        return planned[number] if number < len(planned) else 0.0, listed, 1.0
 
     # ---- draws
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -11,7 +11,9 @@
 from loopback import SETTINGS, Catalog, HttpClient, Planner, Run, figures, program, story
 
 from pipitshed.config import load, load_front
-from pipitshed.decisions.interface import Effect, JobClass
+from pipitshed.decisions.interface import (
+    Effect, Entry, JobClass, ListKind, ListNews, Send, Settings, Submitted, Weights)
+from pipitshed.decisions.rules import Dispatcher
 from pipitshed.scheduler import Scheduler
 from pipitshed.tuning.classes import ClassBook
 from pipitshed.tuning.whole import lacking
@@ -198,3 +200,12 @@
             listener.close()
 
     asyncio.run(check())
+
+
+def test_a_class_that_came_after_the_plan_is_drawn_by_the_list() -> None:
+    dispatcher = Dispatcher(Settings(classes=(QUOTE,), weights=Weights.ROUGH), 1)
+    dispatcher.handle(0.0, [ListNews(ListKind.CACHED, 1, (
+        Entry(b"p1", weight=0.0, planned=(5.0,)), Entry(b"p2", weight=1.0, planned=(0.0,))))])
+    dispatcher.retune(Settings(classes=(QUOTE, RUSH), weights=Weights.ROUGH))
+    actions = dispatcher.handle(1.0, [Submitted(1, 900.0, job_class=0), Submitted(2, 900.0, job_class=1)])
+    assert [action.worker for action in actions if isinstance(action, Send)] == [b"p1", b"p2"]
