--- a/benchmarks/capacity/machine.py
+++ b/benchmarks/capacity/machine.py
@@ -69,6 +69,15 @@
     return (int(stat[11]) + int(stat[12])) / os.sysconf("SC_CLK_TCK")
 
 
+def waited_s(pid: int) -> float:
+    """Seconds that a process of one thread was ready to run and had no core; 0 where the kernel does not
+    tell."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+    except (OSError, ValueError, IndexError):
+        return 0.0
+
+
 def memory_mb(pid: int) -> float:
     """What a process holds in memory now (RSS)."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
--- a/benchmarks/capacity/starts.py
+++ b/benchmarks/capacity/starts.py
@@ -9,7 +9,7 @@
 
 import uvloop
 
-from benchmarks.capacity.machine import in_time, lateness
+from benchmarks.capacity.machine import in_time, lateness, waited_s
 from benchmarks.capacity.records import Row
 from benchmarks.capacity.serving import (Catalog, Listed, Planners, Scheduler, answer, configuration, request,
                                          scheduler)
@@ -43,13 +43,14 @@
     asked: dict[str, float] = {}
     tasks = []
     await running.idle()
-    cpu, began = running.cpu_s(), monotonic()
+    cpu, waited, began = running.cpu_s(), waited_s(running.pid), monotonic()
     for number in range(int(rate * LOADED_S)):
         await asyncio.sleep(max(0.0, began + number / rate - monotonic()))
         asked[f"s{number}"] = monotonic()
         tasks.append(asyncio.create_task(_ask(running, f"s{number}", free, answers)))
     await asyncio.gather(*tasks)
     cpu = running.cpu_s() - cpu
+    waited = waited_s(running.pid) - waited
     waits = [(planners.began[name] - at) * 1000 for name, at in asked.items() if name in planners.began]
     descriptors = running.descriptors()
     for _, writer in free:
@@ -57,6 +58,7 @@
     return {"cpu_share": cpu / (monotonic() - began), "start_us": cpu / len(asked) * 1e6,
             "p50_ms": part(waits, 0.5), "p99_ms": part(waits, 0.99), "worst_ms": max(waits),
             "served": float(answers.get(200, 0)), "not_served": float(len(asked) - answers.get(200, 0)),
+            "waited_share": waited / (monotonic() - began),
             "descriptors": float(descriptors), "memory_mb": running.memory_mb()}
 
 
