--- a/benchmarks/capacity/letter.py
+++ b/benchmarks/capacity/letter.py
@@ -67,12 +67,35 @@
 ZONE_SETTLED = Line("schedulers", "zone lost", "settled_ms", "linear", "ms")
 ZONE_BYTES = Line("schedulers", "zone lost", "out_bytes", "linear", "bytes")
 ZONE_SECOND = Line("schedulers", "zone lost", "worst_second_out_bytes", "linear", "bytes")
+BACK_SETTLED = Line("regions", "region back", "settled_ms", "linear", "ms")
+BACK_BYTES = Line("regions", "region back", "out_bytes", "linear", "bytes")
+BACK_SECOND = Line("regions", "region back", "worst_second_out_bytes", "linear", "bytes")
+APART_BYTES = Line("regions", "region apart", "out_bytes_per_s", "linear", "bytes/s")
+WAVE_SECOND = Line("regions", "restart wave", "worst_second_out_bytes", "linear", "bytes")
+WAVE_SETTLED = Line("regions", "after the restart wave", "settled_ms", "linear", "ms")
+HOLLOW_BYTES = Line("hollow", "rest", "out_bytes_per_s", "linear", "bytes/s")
+HOLLOW_CPU = Line("hollow", "rest", "cpu_share", "linear", "of a core")
+HOLLOW_RELOAD = Line("hollow", "reload by SIGHUP", "last_ms", "linear", "ms")
+DECISIONS = Line("parts", "decisions", "change_and_job_us", "linear", "us")
+DECISIONS_ZONE = Line("parts", "decisions", "zone_at_once_us", "linear", "us")
+DECISIONS_EACH = Line("parts", "decisions", "zone_one_by_one_us", "linear", "us")
+LIST_TURN = Line("parts", "list indented", "first_turn_ms", "linear", "ms")
+LIST_CPU = Line("parts", "list indented", "first_cpu_ms", "linear", "ms")
+LEFT = Line("parts", "replaced", "decisions", "linear")
+OVER = Line("teams", "300 schedulers, uneven", "over_worst_share", "constant", "of its quota")
+UNDER = Line("teams", "300 schedulers, uneven", "under_worst_share", "constant", "of its quota")
+OVER_EVEN = Line("teams", "300 schedulers, even", "over_worst_share", "constant", "of its quota")
+OVER_ROOM = Line("teams", "300 schedulers, uneven, room for all", "over_worst_share", "constant",
+                 "of its quota")
 
 SLOPES = (FIRST_JOB, LIST_COMPACT, LIST_INDENTED, START_CPU, MEMORY, JOB, CHANGE, ZONE_ONE, ZONE_EACH,
           LISTED_REST, HELD_MEMORY, HELD_CPU, HELD_FILES, HELD_TIMERS, START_SHARE, START_FILES,
-          URGENT_P50, URGENT_P99, URGENT_WORST, URGENT_LATE, GANG_WHOLE, GANG_LOST, RELOAD, RELOAD_TOOK,
-          RELOAD_FILE, VIEW_BYTES, VIEW_LOSS, VIEW_MESSAGES, VIEW_CPU, VIEW_MEMORY, JOIN_SECOND, JOIN_BYTES,
-          JOIN_SETTLED, ONE_SETTLED, ONE_BYTES, ZONE_SETTLED, ZONE_BYTES, ZONE_SECOND)
+          URGENT_P50, URGENT_P99, URGENT_WORST, URGENT_LATE, GANG_WHOLE, GANG_LOST, RELOAD,
+          RELOAD_TOOK, RELOAD_FILE, VIEW_BYTES, VIEW_LOSS, VIEW_MESSAGES, VIEW_CPU, VIEW_MEMORY,
+          JOIN_SECOND, JOIN_BYTES, JOIN_SETTLED, ONE_SETTLED, ONE_BYTES, ZONE_SETTLED, ZONE_BYTES,
+          ZONE_SECOND, BACK_SETTLED, BACK_BYTES, BACK_SECOND, APART_BYTES, WAVE_SECOND,
+          WAVE_SETTLED, HOLLOW_BYTES, HOLLOW_CPU, HOLLOW_RELOAD, DECISIONS, DECISIONS_ZONE,
+          DECISIONS_EACH, LIST_TURN, LIST_CPU, LEFT, OVER, UNDER, OVER_EVEN, OVER_ROOM)
 
 # ---- the targets
 
@@ -104,8 +127,12 @@
            "`routes.discovery`, `exchange.route_table`", "planners"),
     Target("4,600 planners", "memory of the whole scheduler, against that for control alone",
            MEMORY.at(PLANNERS), "MB", MEMORY_MB, "`exchange.route_table`, `decisions.rules`", "planners"),
-    Target("4,600 planners", "a change and its job, in times of what it costs at 200",
-           ratio(CHANGE.at(PLANNERS), CHANGE.at(200)), "times", 2.0, "`decisions.rules`", "planners"),
+    Target("4,600 planners", "a change and its job in the decisions, in times of what it costs at 200",
+           ratio(DECISIONS.at(PLANNERS), DECISIONS.at(200)), "times", 2.0, "`decisions.rules`", "parts"),
+    Target("4,600 planners", "the same in the whole program", ratio(CHANGE.at(PLANNERS), CHANGE.at(200)),
+           "times", 2.0, "`decisions.rules`, `exchange.route_table`", "planners"),
+    Target("433 planners replaced a day", "planners that the decisions still hold of them, against those of "
+           "the last minute", LEFT.at(433), "", 1.0, "`decisions.rules`", "parts"),
     Target("a zone lost", "657 rows in a read each, a job behind each, against 3.2% of a core for a minute",
            times(ZONE_EACH.at(PLANNERS), ZONE_ROWS / 1000), "ms", CORE * 60_000, "`decisions.rules`",
            "planners"),
@@ -125,6 +152,12 @@
         HEAVIEST * HELD_EACH), "", SOCKETS, "`scheduler`, `egress.http`", "held"),
     Target("gangs of up to 128", "gangs of 128 that start whole, nine tenths of the slots taken",
            GANG_WHOLE.at(GANG), "of all", 1.0, MISSING, "gangs", least=True),
+    Target("380 teams with quotas", "above its quota, the worst team; uneven, 300 schedulers",
+           OVER.at(TEAMS), "of its quota", None, MISSING, "teams"),
+    Target("380 teams with quotas", "the same where planners have room for all",
+           OVER_ROOM.at(TEAMS), "of its quota", None, MISSING, "teams"),
+    Target("380 teams with quotas", "under its quota, the worst team; uneven, 300 schedulers",
+           UNDER.at(TEAMS), "of its quota", None, MISSING, "teams"),
     Target("urgent work in 2.7 s", "p99 beside a full fleet, 920 planners", URGENT_P99.at(920), "ms",
            URGENT_MS, MISSING, "urgent"),
     Target("urgent work in 2.7 s", "worst beside a full fleet, 920 planners", URGENT_WORST.at(920), "ms",
@@ -134,6 +167,8 @@
            "reload"),
     Target("in force everywhere in 5 s", "a file read again by one scheduler", RELOAD_TOOK.at(TEAMS), "ms",
            IN_FORCE_MS, "`scheduler`", "reload"),
+    Target("in force everywhere in 5 s", "SIGHUP to the last of as many processes on one machine",
+           HOLLOW_RELOAD.at(SCHEDULERS), "ms", IN_FORCE_MS, "`scheduler`", "hollow"),
     Target("in force everywhere in 5 s", "a change, from its writer to the last of 300 schedulers", NONE,
            "ms", IN_FORCE_MS, MISSING, ""),
     Target("control: 9 KB a second", "the view at rest, 300 schedulers", VIEW_BYTES.at(SCHEDULERS),
@@ -146,8 +181,14 @@
            BYTES_PER_S, "`membership`, `peers`", "schedulers"),
     Target("control: 9 KB a second", "the worst second of a lost zone", ZONE_SECOND.at(SCHEDULERS), "bytes",
            BYTES_PER_S, "`membership`, `peers`", "schedulers"),
+    Target("control: 9 KB a second", "the worst second after a region is back", BACK_SECOND.at(SCHEDULERS),
+           "bytes", BYTES_PER_S, "`membership`, `peers`", "regions"),
+    Target("control: 9 KB a second", "the worst second of a restart in waves", WAVE_SECOND.at(SCHEDULERS),
+           "bytes", BYTES_PER_S, "`membership`, `peers`", "regions"),
     Target("control: 3.2% of a core", "the view at rest", VIEW_CPU.at(SCHEDULERS), "of a core", CORE,
            "`membership`, `peers`", "schedulers"),
+    Target("control: 3.2% of a core", "the same with its sockets", HOLLOW_CPU.at(SCHEDULERS), "of a core",
+           CORE, "`membership`, `peers`", "hollow"),
     Target("control: 256 MB", "the view", VIEW_MEMORY.at(SCHEDULERS), "MB", MEMORY_MB, "`membership`",
            "schedulers"),
     Target("12 machines for control", "machines that anything runs on", given(0), "", float(MACHINES),
@@ -261,15 +302,18 @@
             ZONE_BYTES.at(SCHEDULERS), "bytes", ZONE_SETTLED.at(SCHEDULERS),
             ("tests/test_membership.py::test_half_the_fleet_killed_at_once",)),
     Failure("regions cut off for an hour", "now and then", "bytes sent by each once they meet",
-            Line("regions", "healed", "out_bytes", "linear").at(SCHEDULERS), "bytes",
-            Line("regions", "healed", "settled_ms", "linear").at(SCHEDULERS),
+            BACK_BYTES.at(SCHEDULERS), "bytes", BACK_SETTLED.at(SCHEDULERS),
             ("tests/test_membership.py::"
              "test_two_halves_apart_for_a_minute_with_joins_and_deaths_settle_once_whole",
              "tests/test_fleet_rig.py::test_halves_apart_with_a_join_and_a_death_in_each_are_one_again")),
     Failure("all restarted at once", "a restart wave", "bytes sent by each", JOIN_BYTES.at(SCHEDULERS),
             "bytes", JOIN_SETTLED.at(SCHEDULERS),
             ("tests/test_fleet_rig.py::test_half_the_fleet_killed_at_once_and_started_anew_without_disks",)),
-    Failure("all restarted one by one", "a restart wave", "whole lists told by discovery",
-            times(LISTS_ASKED.at(PLANNERS), SCHEDULERS), "lists", NONE,
+    Failure("all restarted, a tenth at a time", "a restart wave", "bytes sent by each in the worst second",
+            WAVE_SECOND.at(SCHEDULERS), "bytes", WAVE_SETTLED.at(SCHEDULERS),
             ("tests/test_fleet_rig.py::test_all_restarted_one_after_the_other",)),
+    Failure("all restarted, their lists", "a restart wave", "whole lists told by discovery",
+            times(LISTS_ASKED.at(PLANNERS), SCHEDULERS), "lists", NONE,
+            ("tests/test_fleet_lists.py::"
+             "test_a_few_siblings_all_know_the_list_6_s_after_discovery_is_back",)),
 )
--- a/benchmarks/capacity/lists.py
+++ b/benchmarks/capacity/lists.py
@@ -117,6 +117,7 @@
         tracemalloc.start()
         for number in range(replaced):
             now += DAY / replaced
+            side.core._epoch += DAY / replaced  # the decisions' clock
             version = 2 * number + 2
             await side.read(news(version, False, [planner_row(number, 0, "draining")]), version)
             version += 1
--- /dev/null
+++ b/benchmarks/capacity/parts.py
@@ -0,0 +1,40 @@
+"""What planners cost the parts of a scheduler alone, in this process and without sockets: the decisions, the
+reading of a list, and what stays of planners that were replaced."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from functools import partial
+from time import monotonic
+
+from benchmarks.capacity.decisions import change_cost, zone_cost
+from benchmarks.capacity.lists import list_read, replaced
+from benchmarks.capacity.records import Row
+
+SLOPE = "parts"
+SIZES = (200, 575, 1150, 2300, 4600, 9200)  # planners
+REPLACED = (433, 866, 1732, 3464)  # planners in a day, of 4,600: once to eight times what the letter tells
+PLANNERS = 4600
+
+
+def _decisions(planners: int) -> dict[str, float]:
+    return change_cost(planners) | {"zone_at_once_us": zone_cost(planners, True)["zone_us"],
+                                    "zone_one_by_one_us": zone_cost(planners, False)["zone_us"]}
+
+
+def measure(sizes: Sequence[int], limit_s: float) -> list[Row]:
+    """A row a size for the decisions and each form of a list, and one for each number of replaced planners;
+    those for which there is no time are left out."""
+    plays: list[tuple[int, str, Callable[[], dict[str, float]]]] = []
+    for size in sizes:
+        plays.append((size, "decisions", partial(_decisions, size)))
+        plays += [(size, f"list {'indented' if indented else 'compact'}", partial(list_read, size, indented))
+                  for indented in (False, True)]
+    plays += [(count, "replaced", partial(replaced, PLANNERS, count)) for count in REPLACED]
+    until, rows = monotonic() + limit_s, []
+    for size, case, play in plays:
+        if monotonic() < until:
+            figures = {name: float(value) for name, value in play().items()
+                       if name not in ("planners", "replaced", "indented")}
+            rows.append(Row(SLOPE, size, case, figures, virtual=True))
+    return rows
--- a/benchmarks/capacity/planners.py
+++ b/benchmarks/capacity/planners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import statistics
 from collections.abc import Sequence
 from functools import partial
 from time import monotonic
@@ -18,7 +19,7 @@
 FIRST_WITHIN_S = 8.0  # a list that is not taken by then is not taken
 WARM_JOBS = 100
 JOBS = 300
-CHANGES = 40
+ROUNDS, CHANGES = 7, 20  # the median of the rounds is told
 AT_REST_S = 4.0
 SPACING_S = 0.002  # between a change and the job behind it, so that the change is read first
 
@@ -64,8 +65,12 @@
     before, began = running.cpu_s(), monotonic()
     await asyncio.sleep(AT_REST_S)
     figures["rest_share"] = (running.cpu_s() - before) / (monotonic() - began)
-    figures["change_us"] = await _single(catalog, running, _as(members[:CHANGES], "draining")) / CHANGES * 1e6
-    await _tell(catalog, running, _as(members[:CHANGES], "ready"))
+    rounds = []
+    for number in range(ROUNDS):
+        changed = members[number * CHANGES:(number + 1) * CHANGES]
+        rounds.append(await _single(catalog, running, _as(changed, "draining")) / len(changed) * 1e6)
+        await _tell(catalog, running, _as(changed, "ready"))
+    figures["change_us"] = statistics.median(rounds)
     lost = [member for member in members if member.zone == ZONES[-1]]
     figures["zone_one_read_ms"] = await _tell(catalog, running, _as(lost, "gone")) * 1000
     await _tell(catalog, running, _as(lost, "ready"))
--- a/benchmarks/capacity/plots.py
+++ b/benchmarks/capacity/plots.py
@@ -12,7 +12,8 @@
 FOLDER = ROOT / "docs" / "figures"
 STEPS = 60  # points of a line
 PICTURES: dict[str, tuple[str, Sequence[Line]]] = {
-    "planners": ("planners listed", (letter.FIRST_JOB, letter.MEMORY, letter.CHANGE, letter.ZONE_ONE)),
+    "planners": ("planners listed", (letter.FIRST_JOB, letter.MEMORY, letter.CHANGE, letter.ZONE_ONE,
+                                    letter.DECISIONS)),
     "tasks": ("tasks held, or started a second, by one scheduler",
               (letter.HELD_MEMORY, letter.HELD_CPU, letter.HELD_FILES, letter.START_SHARE)),
     "schedulers": ("schedulers", (letter.VIEW_BYTES, letter.VIEW_CPU, letter.JOIN_SECOND,
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -13,9 +13,21 @@
           "zone_single_ms")
 COLUMNS = {  # table: the run, what its sizes are, its figures
     "rows-planners": ("planners", "planners", LISTED), "rows-before": ("planners-before", "planners", LISTED),
+    "rows-decisions": ("parts", "planners, or replaced in a day", (
+        "change_and_job_us", "zone_at_once_us", "zone_one_by_one_us", "first_cpu_ms", "first_turn_ms",
+        "peak_bytes", "decisions", "route_table")),
+    "rows-teams": ("teams", "teams", ("over_p50_share", "over_p99_share", "over_worst_share",
+                                      "under_p50_share", "under_p99_share", "under_worst_share")),
+    "rows-schedulers": ("schedulers", "schedulers", (
+        "out_bytes_per_s", "heaviest_out_bytes_per_s", "worst_second_out_bytes", "messages_per_s",
+        "cpu_share", "memory_mb", "settled_ms", "quiet_ms")),
+    "rows-regions": ("regions", "schedulers", (
+        "out_bytes_per_s", "worst_second_out_bytes", "cpu_share", "settled_ms", "quiet_ms")),
+    "rows-hollow": ("hollow", "schedulers", (
+        "out_bytes_per_s", "heaviest_out_bytes_per_s", "cpu_share", "memory_mb", "settled_ms", "last_ms")),
     "rows-held": ("held", "held", ("memory_added_mb", "cpu_share", "descriptors", "timers_each")),
     "rows-starts": ("starts", "starts a second",
-                    ("cpu_share", "start_us", "p50_ms", "p99_ms", "worst_ms", "not_served")),
+                    ("cpu_share", "start_us", "waited_share", "p50_ms", "p99_ms", "worst_ms", "not_served")),
     "rows-urgent": ("urgent", "planners",
                     ("urgent", "busy_share", "p50_ms", "p99_ms", "worst_ms", "late_share", "refusals_each")),
     "rows-gangs": ("gangs", "members",
