--- a/pipitshed/membership/messages.py
+++ b/pipitshed/membership/messages.py
@@ -52,21 +52,10 @@
     rumours: tuple[Word, ...] = ()
 
 
-class Words(msgspec.Struct, frozen=True, array_like=True, tag=23):
-    """Words that the other lacked; in answer to `Items` for its ranges. As `Rows`, of the view."""
-
-    table: int
-    words: tuple[Word, ...]
-    ranges: tuple[int, ...] = ()
-    salt: int = 0
-    wants: bytes = b""
-    whole: bool = True
-
-
 class Exchange(msgspec.Struct, frozen=True, array_like=True, tag=5):
     """A part of a repair. Its sender is told where the other may not know it yet."""
 
-    part: Compare | Items | Rows | Words
+    part: Compare | Items | Rows
     sender: Word | None = None
 
 
--- a/pipitshed/membership/protocol.py
+++ b/pipitshed/membership/protocol.py
@@ -10,13 +10,15 @@
 from heapq import heapify, heappop, heappush
 from itertools import count
 
+import msgspec
+
 from pipitshed.membership.effects import Displaced, Effect, News, RowNews, Tell
 from pipitshed.membership.members import Address, State, Word, rank
-from pipitshed.membership.messages import ROOM, Ack, Exchange, Fresh, Help, Message, Nack, Ping, Words
+from pipitshed.membership.messages import ROOM, Ack, Exchange, Fresh, Help, Message, Nack, Ping
 from pipitshed.membership.timing import Health, Scales, suspicion_lasts
 from pipitshed.membership.view import View
 from pipitshed.replication.carrier import FRAME, Carrier, message_size
-from pipitshed.replication.messages import Compare, Items
+from pipitshed.replication.messages import Compare, Items, unpack
 from pipitshed.replication.repair import Out
 from pipitshed.replication.row import Row
 from pipitshed.replication.rows import RowTable, Taken
@@ -25,6 +27,8 @@
 ALONE = 0.3  # of the time between repairs, where nobody is known yet: as a seed may be asked by very many
 ASKED_LATELY = 1.0  # s in which one that told another view, so that it lives, is not probed again
 VIEW = 0  # the view's place among the tables
+_words = msgspec.msgpack.Decoder(tuple[Word, ...])
+_rows = msgspec.msgpack.Decoder(tuple[Row, ...])
 
 
 @dataclass(slots=True)
@@ -120,7 +124,6 @@
         if late <= self.scales.period:
             return
         self.health.unwell(2)
-        self.carrier.repair.forget()
         for suspicion in self._suspicions.values():
             suspicion.since += late
         again = now + self.scales.ack_within * self.health.stretch
@@ -287,8 +290,9 @@
     def _word(self, state: State) -> Word:
         return _said(self.me, state, self.me.name)
 
-    def _take(self, now: float, word: Word, repaired: bool = False) -> None:
-        """Take a word, refute it where it is wrong about oneself, and pass it on where it was new."""
+    def _take(self, now: float, word: Word, repaired: int = 0) -> None:
+        """Take a word, refute it where it is wrong about oneself, and pass it on where it was new. Of a word
+        that came by repair, `repaired` says among how many."""
         if word.name == self.me.name:
             self._of_me(now, word)
             return
@@ -304,7 +308,7 @@
         if not self.view.take(now, word):
             return
         if repaired:
-            self.carrier.tell_repaired(now, VIEW, word, len(self.view))
+            self.carrier.tell_repaired(now, VIEW, word, len(self.view), repaired)
         else:
             self.carrier.tell(VIEW, word)
         if word.state is State.SUSPECT:
@@ -379,7 +383,7 @@
                 gained += 1
                 self._fresh[place].append(row)
                 if repaired:
-                    self.carrier.tell_repaired(now, VIEW + 1 + place, row, len(self.view))
+                    self.carrier.tell_repaired(now, VIEW + 1 + place, row, len(self.view), len(rows))
                 else:
                     self.carrier.tell(VIEW + 1 + place, row)
             elif taken in (Taken.OLD, Taken.CONFLICT):
@@ -392,7 +396,7 @@
             if not word.sound():
                 continue
             number = self.view.number
-            self._take(now, word, True)
+            self._take(now, word, len(words))
             held = self.view.get(word.name)
             gained += self.view.number != number
             if held is not None and rank(held) > rank(word):
@@ -412,12 +416,10 @@
         if isinstance(part, Compare | Items):
             self._send(now, self.carrier.answer(now, source, part, self._others))
             return
-        if isinstance(part, Words):
-            if part.table != VIEW:
-                return
-            gained, newer = self._take_words(now, part.words)
+        if part.table == VIEW:
+            gained, newer = self._take_words(now, unpack(part.packed, _words))
         elif 0 <= (place := part.table - VIEW - 1) < len(self.tables):
-            gained, newer = self._take_rows(now, place, part.rows, True)
+            gained, newer = self._take_rows(now, place, unpack(part.packed, _rows), True)
         else:
             return
         self._send(now, self.carrier.taken(now, source, part, gained, newer, self._others))
--- a/pipitshed/membership/view.py
+++ b/pipitshed/membership/view.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 
 from pipitshed.membership.members import Word, rank
-from pipitshed.membership.messages import Words
 from pipitshed.replication.digests import Tree
 
 MOST_MEMBERS = 4096  # names held at the most, whatever strangers say
@@ -82,8 +81,3 @@
     def digest(self) -> str:
         """A hash of who lives, at which address and incarnation: equal where two schedulers agree."""
         return self.tree.digest().hex()
-
-    def told(self, table: int, words: Sequence[Word], ranges: tuple[int, ...] = (), salt: int = 0,
-             wants: bytes = b"", whole: bool = True) -> Words:
-        """The message that tells these, as repair makes it."""
-        return Words(table, tuple(words), ranges, salt, wants, whole)
--- a/pipitshed/replication/budget.py
+++ b/pipitshed/replication/budget.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-RATE = 6800.0  # bytes a second, of all that goes to peers
+RATE = 7100.0  # bytes a second, of all that goes to peers
 BURST = 1500.0  # bytes at once beyond that; so under 9,000 go out in any one second
 OWED = 0.67  # part of what comes in that may be taken for what goes anyway: whoever is asked very often must
 # still tell those that ask of others
@@ -27,7 +27,7 @@
         paid = min(self._owed, more * OWED)
         self._owed -= paid
         self._level = min(self._burst, self._level + more - paid)
-        part = more / len(self._shares)
+        part = (more - paid) / len(self._shares)
         self._shares = [min(self._burst, share + part) for share in self._shares]
 
     def charge(self, now: float, size: int) -> None:
--- a/pipitshed/replication/carrier.py
+++ b/pipitshed/replication/carrier.py
@@ -9,14 +9,15 @@
 import msgspec
 
 from pipitshed.replication.budget import Budget
-from pipitshed.replication.messages import Compare, Items
+from pipitshed.replication.messages import Compare, Items, Rows
 from pipitshed.replication.repair import Address, Held, Out, Repair, sampled
 from pipitshed.replication.rumours import Rumours, tellings
 
 FRAME = 40  # bytes around a message: the edge's frame, and what holds the items
-FEW = 32  # rumours that wait, up to which what came by repair is told as well
+FEW = 8  # rumours that wait, up to which what came by repair is told as well
+SINGLE = 3  # items in one answer, up to which they are told on
 AGAIN = 4  # times that this is told
-MANY = 64  # rumours that wait, from which on they get less room
+MANY = 24  # rumours that wait, from which on they get less room
 LITTLE = 120  # bytes
 ENOUGH = 8  # peers one after the other that told the digest held here: what waits is known
 LATELY = 2.0  # s that a digest which a peer told counts
@@ -102,10 +103,10 @@
         self.queues[place].add(item)
         self._agreeing[place] = 0
 
-    def tell_repaired(self, now: float, place: int, item: Any, fleet: int) -> None:
-        """Pass on what came by repair, a few times and while few wait. Where much is lacking here, others
-        know it, or will repair as well."""
-        if len(self.queues[place]) < FEW and not self._is_behind(now, place):
+    def tell_repaired(self, now: float, place: int, item: Any, fleet: int, among: int) -> None:
+        """Pass on what came by repair `among` so many, a few times and while few wait. Where much is lacking
+        here, others know it, or will repair as well."""
+        if among <= SINGLE and len(self.queues[place]) < FEW and not self._is_behind(now, place):
             self.queues[place].add(item, max(0, tellings(fleet) - AGAIN))
 
     def take(self, now: float, room: int, to: str, fleet: int, all_of: int = -1,
@@ -184,7 +185,7 @@
             return out if part.answer else out + self.consider(now, part.table, False, others)
         return self.repair.asked(now, address, part)
 
-    def taken(self, now: float, address: Address, part: Any, gained: int, newer: Sequence[str],
+    def taken(self, now: float, address: Address, part: Rows, gained: int, newer: Sequence[str],
               others: Callable[[], list[Address]]) -> list[Out]:
         """A peer's items were taken: so many were new, and of the keys `newer` newer ones are held here."""
         much = gained >= MUCH or (gained > 0 and sampled(part))
--- a/pipitshed/replication/digests.py
+++ b/pipitshed/replication/digests.py
@@ -12,6 +12,7 @@
 ROOT = 1  # a range's number; its parts are 16 times that, and up
 _BITS = 64
 _MASK = (1 << _BITS) - 1
+_HALF = (1 << _BITS // 2) - 1
 MARK = 2  # bytes by which an item is told
 
 
@@ -68,11 +69,12 @@
 
     def digest(self) -> bytes:
         """8 bytes for all: equal where two hold the same."""
-        return self.node(ROOT)[0].to_bytes(8, "big")
+        return self._nodes.get(ROOT, (0, 0))[0].to_bytes(8, "big")
 
     def node(self, node: int) -> tuple[int, int]:
-        """The sum of a range, and how many items it has."""
-        return self._nodes.get(node, (0, 0))
+        """The sum of a range, half of its bits, and how many items it has."""
+        total, items = self._nodes.get(node, (0, 0))
+        return total & _HALF, items
 
     def sample(self, rng: random.Random, most: int) -> list[str]:
         """Some keys."""
--- a/pipitshed/replication/repair.py
+++ b/pipitshed/replication/repair.py
@@ -12,20 +12,23 @@
 
 from pipitshed.replication.budget import Budget
 from pipitshed.replication.digests import DEPTH, MARK, ROOT, WAYS, Tree, depth, sound
-from pipitshed.replication.messages import ROOM, Compare, Items, Range
+from pipitshed.replication.messages import ROOM, Compare, Items, Range, Rows, pack
 
 Address = tuple[str, int]
-LEAF = 100  # items of a range that are told by marks; one with more on both sides is parted, for 240 bytes
+LEAF = 100  # items of a range that are told by marks; one with more on both sides is parted, for 160 bytes
 MOST_RANGES = 72  # in one message
 MOST_MARKS = 256  # in one message
 MOST_PEERS = 64  # that are left alone
-PULLED = 24  # items that one question may be expected to bring
-LEAST = 700  # bytes under which an answer is not worth its frame
+MOST_WIDE = 16
+PULLED = 32  # items that one question may be expected to bring
+LEAST = 900  # bytes under which an answer is not worth its frame
 SAMPLE = 5  # items that one who knows nothing is told to begin with
 ANSWERS = 500  # bytes that are left for answers when something is asked
-WITHIN = 0.3  # s for an answer
+WITHIN = 0.6  # s for an answer; a peer may let it wait for its budget
+MOST_WAITING = 3  # questions that wait here for the budget; more are not answered
 TRIES = 3
 LASTS = 20.0  # s that an exchange may take, whatever its peer still tells
+SOON = 0.05  # s until an answer that waits is tried again
 PUT_OFF = 0.1  # s until a message is tried again that the budget had no room for
 STRIKE = 1.0  # s that a peer is left alone that differs and brings nothing; doubled with each time
 MOST_STRIKES = 10
@@ -43,17 +46,13 @@
     def get(self, key: str) -> Any:
         """The item of a key, or None."""
 
-    def told(self, table: int, items: Sequence[Any], ranges: tuple[int, ...] = (), salt: int = 0,
-             wants: bytes = b"", whole: bool = True) -> msgspec.Struct:
-        """The message that tells these."""
-
 
 @dataclass(slots=True)
 class Out:
     """Send this message."""
 
     to: Address
-    message: Any  # `Compare`, `Items`, or what a table tells
+    message: Compare | Items | Rows
 
 
 @dataclass(slots=True)
@@ -75,6 +74,7 @@
     ends: float
     compare: list[int] = field(default_factory=list)  # ranges to be parted and compared
     fetch: dict[int, tuple[int, int]] = field(default_factory=dict)  # what it holds where it differs
+    wide: int = 4  # ranges that one question asks for: fewer where the answers are not whole
     asked: msgspec.Struct | None = None  # the question that is out
     again: Compare | None = None  # one that had no answer, and is asked again
     due: float = 0.0  # its time is over, or the next one is tried
@@ -96,6 +96,9 @@
         self._frame = frame
         self._led: dict[tuple[int, Address], _Exchange] = {}
         self._strikes: dict[tuple[int, Address], tuple[int, float]] = {}  # how many, left alone until
+        self._waiting: dict[tuple[int, Address], Items] = {}  # questions that the budget had no room for
+        self._answer_at = float("inf")
+        self._deflated = 1.5  # how much smaller items are when packed, as last seen
         self.done: list[Done] = []  # to be taken by the user
 
     # ---- leading
@@ -140,11 +143,16 @@
 
     def due(self) -> float | None:
         """When `tick` has something to do."""
-        return min((one.due for one in self._led.values()), default=None)
+        due = min((one.due for one in self._led.values()), default=None)
+        return due if not self._waiting else self._answer_at if due is None else min(due, self._answer_at)
 
     def tick(self, now: float) -> list[Out]:
         """Ask again where no answer came, or what the budget had no room for."""
         out: list[Out] = []
+        if self._waiting and now >= self._answer_at:
+            waiting, self._waiting = self._waiting, {}
+            for (_, peer), question in waiting.items():
+                out += self.asked(now, peer, question)
         for one in [one for one in self._led.values() if one.due <= now]:
             if one.asked is not None:
                 one.tries += 1
@@ -156,10 +164,6 @@
                 out += self._next(now, one)
         return out
 
-    def forget(self) -> None:
-        """This scheduler stood still: what it asked says nothing of its peers."""
-        self._led.clear()
-
     def _end(self, now: float, one: _Exchange, whole: bool) -> None:
         del self._led[one.table, one.peer]
         self.done.append(Done(one.table, one.peer, whole, one.gained))
@@ -220,7 +224,8 @@
             if node in busy:
                 continue
             ours, theirs = tree.node(node)[1], one.fetch[node][1]
-            if chosen and (marks + ours > MOST_MARKS or brought + max(1, theirs - ours) > PULLED):
+            if chosen and (len(chosen) >= one.wide or marks + ours > MOST_MARKS
+                           or brought + max(1, theirs - ours) > PULLED):
                 break
             chosen.append(node)
             marks += ours
@@ -243,8 +248,8 @@
                 # Guards a seed that a whole fleet joins by: a few to begin with, and the rest from those.
                 table = self._tables[message.table]
                 some = [table.get(key) for key in tree.sample(self._rng, SAMPLE)]
-                answer = table.told(message.table, some, whole=False)
-                return [Out(peer, answer)] if self._room(now, message.table, answer) else []
+                few = Rows(message.table, pack(some), whole=False)
+                return [Out(peer, few)] if self._room(now, message.table, few) else []
             answer = Compare(message.table, tuple(self._parted(tree, differ)), False)
             return [Out(peer, answer)] if self._room(now, message.table, answer) else []
         one = self._led.get((message.table, peer))
@@ -282,22 +287,18 @@
         ours = [told for node in ranges for told in table.tree.marks(node, message.salt)]
         room = min(ROOM, self._budget.room(now, message.table, LEAST) - self._frame) - 4 * len(ranges)
         if room <= 0:
+            if len(self._waiting) < MOST_WAITING:
+                self._waiting[message.table, peer] = message
+                self._answer_at = now + SOON
             return []
         wants = _written(list(theirs - {mark for mark, _ in ours})[:room // 4 // MARK])
         room -= len(wants)
-        items, whole = [], True
-        for mark, key in ours:
-            if mark in theirs:
-                continue
-            item = table.get(key)
-            if (room := room - item.size) < 0:
-                whole = False
-                break
-            items.append(item)
-        answer = table.told(message.table, items, ranges, message.salt, wants, whole)
+        lacking = [key for mark, key in ours if mark not in theirs]
+        told, packed = self._packed(table, lacking, room)
+        answer = Rows(message.table, packed, ranges, message.salt, wants, told == len(lacking))
         return [Out(peer, answer)] if self._room(now, message.table, answer) else []
 
-    def told(self, now: float, peer: Address, message: Any, gained: int, newer: Sequence[str]) -> list[Out]:
+    def told(self, now: float, peer: Address, message: Rows, gained: int, newer: Sequence[str]) -> list[Out]:
         """A peer told items; so many were new here, and of the keys `newer` a newer one is held."""
         out = self._give(now, peer, message, newer)
         one = self._led.get((message.table, peer))
@@ -308,13 +309,14 @@
         one.gained += gained
         one.gave = one.gave or bool(out)
         one.differed = one.differed or gained > 0
+        one.wide = min(MOST_WIDE, one.wide * 2) if message.whole else max(1, one.wide // 2)
         if message.whole or not gained:
             for node in one.asked.ranges:
                 one.fetch.pop(node, None)
         one.asked, one.tries = None, 0
         return out + (self._next(now, one) if now < one.ends else [])
 
-    def _give(self, now: float, peer: Address, message: Any, newer: Sequence[str]) -> list[Out]:
+    def _give(self, now: float, peer: Address, message: Rows, newer: Sequence[str]) -> list[Out]:
         """Tell a peer what it wants, and what it holds in an older version."""
         held, out = self._tables[message.table], []
         wants = _read(message.wants)
@@ -322,18 +324,35 @@
                      for mark, key in held.tree.marks(node, message.salt) if mark in wants} | set(newer))
         while keys:
             room = min(ROOM, self._budget.room(now, message.table, LEAST + self._frame) - self._frame)
-            items: list[Any] = []
-            while keys and (room := room - held.get(keys[-1]).size) >= 0:
-                items.append(held.get(keys.pop()))
-            if not items:
+            told, packed = self._packed(held, keys, room)
+            answer = Rows(message.table, packed)
+            if not told or not self._room(now, message.table, answer):
                 break  # the rest is found again by a later exchange
-            told = held.told(message.table, items)
-            self._room(now, message.table, told)
-            out.append(Out(peer, told))
+            out.append(Out(peer, answer))
+            del keys[:told]
         return out
 
+    def _packed(self, table: Held, keys: Sequence[str], room: int) -> tuple[int, bytes]:
+        """The first of these items, as many as have room packed; how many they are."""
+        items: list[Any] = []
+        size = 0.0
+        for key in keys:
+            item = table.get(key)
+            size += item.size / self._deflated
+            if size > room and items:
+                break
+            items.append(item)
+        packed = pack(items)
+        while items and len(packed) > room:
+            del items[len(items) * 3 // 4:]
+            packed = pack(items)
+        if len(items) > PULLED // 4:
+            # What these take teaches how many may be tried next time.
+            self._deflated += (sum(item.size for item in items) / len(packed) - self._deflated) / 4
+        return len(items), packed
+
 
-def sampled(message: Any) -> bool:
+def sampled(message: Rows) -> bool:
     """Whether what a peer told is a few to begin with."""
     return not message.ranges and not message.whole
 
--- a/pipitshed/replication/rows.py
+++ b/pipitshed/replication/rows.py
@@ -5,10 +5,9 @@
 
 import enum
 from collections import Counter
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 
 from pipitshed.replication.digests import Tree
-from pipitshed.replication.messages import Rows
 from pipitshed.replication.row import FORM, KEY_LIMIT, WRITER_LIMIT, Row, rank
 
 __all__ = ["FORM", "Row", "RowError", "RowTable", "Taken"]
@@ -61,11 +60,6 @@
         """8 bytes, equal where two tables hold the same."""
         return self.tree.digest()
 
-    def told(self, table: int, rows: Sequence[Row], ranges: tuple[int, ...] = (), salt: int = 0,
-             wants: bytes = b"", whole: bool = True) -> Rows:
-        """The message that tells these, as repair makes it."""
-        return Rows(table, tuple(rows), ranges, salt, wants, whole)
-
     def put(self, key: str, body: bytes, writer: str, take_over: bool = False) -> Row:
         """Write a row; RowError where it can't be. Its number comes from the row held, never from a clock."""
         return self._write(key, body, writer, take_over, False)
