Confirmations are spread by their own size; who lives is listed at the view's changes

Each confirmation was taken for 81 bytes and is 66 with usual names, so an answer took a fifth longer than the 4,500 bytes a second need. `--wait` is 15 s by default, as 10 would be too short for 600. Each confirmation also sorted all members by name at the writer; the list is now kept until the view changes.

--- a/pipitshed/peers/rows.py
+++ b/pipitshed/peers/rows.py
@@ -91,6 +91,7 @@
         self._path, self._secret = peers.rows_file, bool(peers.secret)
         self._confirmations = Confirmations(me.name, me.life, self.table,
                                             random.Random(secrets.randbits(64)))
+        self._lives: tuple[int, dict[str, int]] = (-1, {})  # of which number of the view
         self._since = loop.time()
         self._busy = self._changed = self._closed = False
         self._unsaved = ""
@@ -114,7 +115,11 @@
             self.table.caught_up = True
 
     def _living(self) -> dict[str, int]:
-        return {word.name: word.life for word in self._carrier.membership.view.living()}
+        """Who lives, and in which life; made anew only where the view has changed, as many tell at once."""
+        view = self._carrier.membership.view
+        if self._lives[0] != view.number:
+            self._lives = view.number, {word.name: word.life for word in view.living()}
+        return self._lives[1]
 
     # ---- rows taken up
 
--- a/pipitshed/peers/settings_commands.py
+++ b/pipitshed/peers/settings_commands.py
@@ -44,7 +44,7 @@
     """The options of a change."""
     for option in (
             click.option("--take-over", is_flag=True, help="Though another scheduler writes this row."),
-            click.option("--wait", default=10.0, show_default=True, type=click.FloatRange(0.0, 3600.0),
+            click.option("--wait", default=15.0, show_default=True, type=click.FloatRange(0.0, 3600.0),
                          help="Seconds until it must be in force.")):
         command = option(command)
     return asked(command)
--- a/pipitshed/replication/acting.py
+++ b/pipitshed/replication/acting.py
@@ -13,17 +13,19 @@
 from pipitshed.replication.rows import RowTable
 
 RATE = 4500.0  # bytes a second in which all members together tell one writer
-BASE, EACH = 72, 9  # bytes of a message that tells, and of each row in it
+FRAME = 24  # bytes around a message: the edge's head, and a cluster's name of usual length
 ASKED_MOST = 8  # rows that one message asks for
 TOLD_MOST = 2  # rows that one tells of unasked; the digest tells of all
 REFUSED_MOST, REASON_LIMIT = 4, 80  # refusals in one message, and characters of a reason
 ASK_AFTER = 0.4  # s beyond the time in which all should have told, from which the others are asked
 ASK_AGAIN = 1.0  # s between two questions to one member
 ASK_EVERY = 0.25  # s
-ASKED_AT_ONCE = int(RATE * ASK_EVERY / (2 * BASE))
+ASKED_AT_ONCE = int(RATE * ASK_EVERY / 160)  # a question and its answer are 80 bytes each, about
 WATCHED = 256  # rows whose confirmations are kept
 INTEREST = 10.0  # s for which they are asked for after someone wanted to know
 
+_encoder = msgspec.msgpack.Encoder()
+
 
 class Acting(msgspec.Struct, frozen=True, array_like=True, tag=32):
     """I act on all rows of the table with this digest, and on these by their content, but not on what I
@@ -112,10 +114,15 @@
             if row.writer == self._me:
                 continue
             if row.writer not in self._owed:
-                delay = self._rng.random() * fleet * (BASE + EACH) / RATE
+                delay = self._rng.random() * self._lasts(fleet)
                 self._owed[row.writer] = now + delay, {}
             self._owed[row.writer][1][row.key] = None
 
+    def _lasts(self, fleet: int) -> float:
+        """How long (s) all members tell of one row, if their words are as long as this one's."""
+        mine = Acting(self._me, self._life, self._at, self.state.digest, (2**63,))
+        return fleet * (FRAME + len(_encoder.encode(mine))) / RATE
+
     def asked(self, message: AskActing) -> Acting:
         """The answer to a question."""
         return self._told(message.keys[:ASKED_MOST])
@@ -205,7 +212,7 @@
 
     def _questions(self, now: float, living: Living) -> list[Said]:
         """Ask those who have not told of rows that someone waits for, so many at a time."""
-        wait = len(living) * (BASE + EACH) / RATE + ASK_AFTER
+        wait = self._lasts(len(living)) + ASK_AFTER
         wanted = [watch for watch in self._watches.values() if watch.until > now]
         self._ask_at = now + ASK_EVERY if wanted else float("inf")
         self._asked = {name: when for name, when in self._asked.items() if name in living}
