One that starts again with its clock set back is not displaced by its own life before

A word on the own name at the own address is of a life before, as nobody else can be there: it is refuted. The rig's relays no longer log a traceback for an end that uvloop has closed.

--- a/pipitshed/lab/fleet/relays.py
+++ b/pipitshed/lab/fleet/relays.py
@@ -104,7 +104,7 @@
             self._tasks.discard(task)
 
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, link: Link) -> None:
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError, RuntimeError):  # the latter where uvloop's other end has closed
             while data := await reader.read(65536):
                 while link.cut:
                     await asyncio.sleep(BLACK_HOLE)
--- a/pipitshed/membership/protocol.py
+++ b/pipitshed/membership/protocol.py
@@ -322,11 +322,14 @@
 
     def _of_me(self, now: float, word: Word) -> None:
         if word.life != self.me.life:
-            if rank(word) > rank(self.me) and not word.gone and not self.displaced:
+            if rank(word) <= rank(self.me) or self.displaced:
+                return
+            if word.gone or word.address == self.me.address:
+                # It is said of a life before this one, by a clock that stood ahead: nobody else is here.
+                self._refute(now, word)
+            else:
                 self.displaced = True
                 self._effects.append(Displaced(word))
-            elif rank(word) > rank(self.me) and not self.displaced:
-                self._refute(now, word)  # it is said of a life before this one, by a clock that stood ahead
             return
         if self.leaving or self.displaced or word.state is State.ALIVE:
             return
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -151,6 +151,17 @@
     assert network.settle(2 * WITHIN) is not None
 
 
+@pytest.mark.parametrize("after", [0.05, 0.7])
+def test_a_name_that_comes_back_at_once_with_its_clock_stood_back_is_no_other_process(after: float) -> None:
+    """The failure met: it heard of its life before as of one that lives, held itself for displaced by that,
+    and was out of the view for good."""
+    network = joined(8)
+    network.kill(list(network.nodes.values())[9])
+    network.run(after)
+    network.start(9, [0, 1], clock=-3600.0)
+    assert network.settle(2 * WITHIN) is not None and network.displaced == []
+
+
 def test_a_name_that_two_hold_goes_to_the_later_and_the_other_hears_so() -> None:
     network = joined(9)
     network.start(61, [0, 1], name="n5")
