--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,7 +9,7 @@
 import pytest
 from click.testing import CliRunner
 
-from benchmarks.capacity import letter, page
+from benchmarks.capacity import gangs, letter, page, urgent
 from benchmarks.capacity.__main__ import main
 from benchmarks.capacity.figures import Line, plus, ratio, text
 from benchmarks.capacity.fits import FitError, fit
@@ -107,3 +107,11 @@
 def test_a_held_exchange_keeps_four_timers_at_most() -> None:
     """Growth by count: its guard, its attempt's end, its start's bound and its silence's, one each."""
     assert timers(configuration(1, 4)) <= 4
+
+
+def test_the_modelled_fleet_plays_the_same_twice_and_a_gang_finds_room_where_there_is() -> None:
+    assert urgent.play(46, "full") == urgent.play(46, "full")
+    assert gangs.gang(32, 0.5, 1)["whole"] == 1.0
+    # Nothing holds a gang together: where room is short some start, and hold their slots for nothing.
+    short = gangs.gang(32, 0.98, 1)
+    assert short["whole"] == 0.0 and short["started"] > 0 and short["held_slot_s"] > 0
