A virtual fleet over regions and zones, each message through the codec; tests of its cost

Need: the slopes over schedulers want bytes as they are on the wire, regions 40 ms apart, and the worst second of the one that sends most, not means of messages that were never encoded.

`lab.virtual_fleet.Fleet` extends `virtual_view.Network`: 7 zones in 3 regions (0.5 ms in a zone, 1 ms in a region, 40 ms one way between regions), each message encoded, counted with IP and UDP headers, and decoded anew for its receiver, so that no two share their words in memory. `Network` lets the zone and the way of a message be said by who extends it.

--- /dev/null
+++ b/pipitshed/lab/virtual_fleet.py
@@ -0,0 +1,157 @@
+"""A fleet over regions and zones in virtual time: each message goes through the codec and is counted."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import cast
+
+from pipitshed.lab.virtual_view import Network, Node
+from pipitshed.membership.members import Address, State
+from pipitshed.membership.messages import Message
+from pipitshed.membership.timing import Scales
+from pipitshed.peers.codec import DATAGRAM_LIMIT, Codec
+
+ZONES = ("norte/1", "norte/2", "norte/3", "centro/1", "centro/2", "sur/1", "sur/2")
+WITHIN_ZONE, WITHIN_REGION, BETWEEN_REGIONS = 0.0005, 0.001, 0.040  # s, one way
+JITTER = 0.1  # part of them by which they vary
+DATAGRAM_HEADERS = 28  # bytes of IP and UDP
+SEEDS = (0, 3, 5)  # one in each region
+SETTINGS = "settings"  # the table beside the view
+
+
+def region(zone: str) -> str:
+    """The region that a zone is in."""
+    return zone.partition("/")[0]
+
+
+@dataclass(slots=True)
+class Second:
+    """Bytes of one scheduler: in all, and in its worst whole second."""
+
+    bytes: int = 0
+    worst: int = 0
+    _second: int = -1
+    _now: int = 0
+
+    def add(self, now: float, size: int) -> None:
+        """So many bytes at `now`."""
+        self.bytes += size
+        if int(now) != self._second:
+            self._second, self._now = int(now), 0
+        self._now += size
+        self.worst = max(self.worst, self._now)
+
+
+class Fleet(Network):
+    """Schedulers in zones."""
+
+    def __init__(self, seed: int, loss: float = 0.0, scales: Scales | None = None) -> None:
+        super().__init__(seed, scales, loss, tables=(SETTINGS,), zones=ZONES)
+        self.codec = Codec("fleet")
+        self.seeds: list[int] = []
+        self.out: dict[Address, Second] = {}
+        self.into: dict[Address, Second] = {}
+        self.busy = 0.0  # s of this process's time in the schedulers' own work
+        self.too_long = 0  # messages beyond a datagram, which the edge drops
+
+    def zone(self, address: Address) -> str:
+        """The zone of whoever has this address, alive or not."""
+        return self.zone_of(address[1] - self.first_port)
+
+    def fleet(self, size: int) -> list[Node]:
+        """So many at once, that join by one seed in each region."""
+        self.seeds = [seed for seed in SEEDS if seed < size]
+        return [self.start(number, self.seeds) for number in range(size)]
+
+    def count_anew(self) -> None:
+        """Count from here on."""
+        self.out, self.into, self.busy, self.too_long = {}, {}, 0.0, 0
+        self.sent.clear()
+        self.bytes_out.clear()
+
+    def lose_zone(self, zone: str) -> None:
+        """All in a zone are gone, and nobody is told."""
+        for node in list(self.nodes.values()):
+            if self.zone(node.address) == zone:
+                self.kill(node)
+
+    def part_region(self, lost: str) -> None:
+        """Cut one region off from the others, both ways."""
+        self.cut = lambda source, target: (
+            (region(self.zone(source)) == lost) != (region(self.zone(target)) == lost))
+
+    def heal(self) -> None:
+        """No more cuts."""
+        self.cut = lambda source, target: False
+
+    def one_view(self) -> bool:
+        """Whether all hold exactly those alive that live. Compares digests, which each keeps anyway."""
+        views = [node.membership.view for node in self.nodes.values()]
+        return len({view.digest() for view in views}) == 1 and [
+            (word.name, word.address) for word in views[0].living()] == self.truth() and all(
+            word.state is not State.SUSPECT for view in views for word in view)
+
+    def one_table(self) -> bool:
+        """Whether all hold the same settings, and know that they do."""
+        return len({node.tables[0].digest() for node in self.nodes.values()}) == 1 and all(
+            node.tables[0].caught_up for node in self.nodes.values())
+
+    def whole(self) -> bool:
+        """Whether all hold one true view, and the same settings."""
+        return self.one_table() and self.one_view()
+
+    def quiet(self) -> bool:
+        """Whether that is so and nobody has anything left to tell."""
+        return self.whole() and not any(
+            len(queue) for node in self.nodes.values() for queue in node.membership.carrier.queues)
+
+    def until(self, holds: Callable[[], bool], within: float, step: float) -> float | None:
+        """How long (s) until it holds, looked at each `step`; None where it does not within the time."""
+        begun = self.now
+        for looked in itertools.count():
+            if holds():
+                return looked * step
+            if self.now - begun >= within:
+                return None
+            self.run(step)
+        raise AssertionError("unreachable")
+
+    # ---- how it happens
+
+    def _turn(self, node: Node, message: Message | None, source: Address) -> None:
+        begun = time.perf_counter()
+        super()._turn(node, message, source)
+        self.busy += time.perf_counter() - begun
+
+    def _takes(self, source: Address, target: Address) -> float:
+        here, there = self.zone(source), self.zone(target)
+        takes = WITHIN_ZONE if here == there else (
+            WITHIN_REGION if region(here) == region(there) else BETWEEN_REGIONS)
+        return takes * (1.0 + self.rng.random() * JITTER)
+
+    def _add(self, counted: dict[Address, Second], address: Address, size: int) -> None:
+        if (second := counted.get(address)) is None:
+            second = counted[address] = Second()
+        second.add(self.now, size)
+
+    def _send(self, node: Node, to: Address, message: Message) -> None:
+        data = self.codec.encode(message)
+        self.sent[node.name] += 1
+        if len(data) > DATAGRAM_LIMIT:
+            self.too_long += 1
+            return
+        size = len(data) + DATAGRAM_HEADERS
+        self._add(self.out, node.address, size)
+        if self.cut(node.address, to) or self.rng.random() < self.loss or to not in self.nodes:
+            return
+        self._add(self.into, to, size)
+        # A message of its own for the receiver, so that no two share their words in memory.
+        self._post(self._takes(node.address, to), node.address, to, cast(Message, self.codec.decode(data)))
+
+
+def worst(counted: Iterable[Second]) -> int:
+    """The most bytes that one of these had in one second."""
+    return max((one.worst for one in counted), default=0)
--- a/pipitshed/lab/virtual_view.py
+++ b/pipitshed/lab/virtual_view.py
@@ -5,7 +5,7 @@
 import hashlib
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
@@ -39,6 +39,8 @@
 class Network:
     """Nodes, what is on its way between them, and what cuts them off. Times are seconds."""
 
+    first_port = 10_000
+
     def __init__(self, seed: int, scales: Scales | None = None, loss: float = 0.0,
                  delay: tuple[float, float] = (0.0005, 0.010), tables: tuple[str, ...] = (),
                  zones: tuple[str, ...] = ZONES) -> None:
@@ -62,20 +64,24 @@
 
     # ---- what a test does
 
-    def start(self, number: int, seeds: list[int], clock: float = 0.0, name: str = "") -> Node:
+    def start(self, number: int, seeds: Sequence[int], clock: float = 0.0, name: str = "") -> Node:
         """Start a process at address `number`; `clock` is what its own clock is off by."""
-        address = ("127.0.0.1", 10_000 + number)
+        address = ("127.0.0.1", self.first_port + number)
         incarnation = int((1_000_000 + self.now + clock) * 1000)
         name = name or f"n{number}"
-        me = Word(name, *address, self.zones[number % len(self.zones)], incarnation,
-                  self.rng.randrange(2**32), said_by=name)
+        me = Word(name, *address, self.zone_of(number), incarnation, self.rng.randrange(2**32),
+                  said_by=name)
         tables = tuple(RowTable(table) for table in self.tables)
-        membership = Membership(me, self.scales, [("127.0.0.1", 10_000 + seed) for seed in seeds],
+        membership = Membership(me, self.scales, [("127.0.0.1", self.first_port + seed) for seed in seeds],
                                 random.Random(self.rng.randrange(2**62)), self.now, tables)
         node = self.nodes[address] = Node(name, address, membership, tables)
         self._wake(node)
         return node
 
+    def zone_of(self, number: int) -> str:
+        """The zone of the scheduler at address `number`."""
+        return self.zones[number % len(self.zones)]
+
     def fleet(self, size: int) -> list[Node]:
         """So many at once, that join by the first two."""
         return [self.start(number, [0, 1]) for number in range(size)]
@@ -128,11 +134,15 @@
 
     def agreed(self) -> bool:
         """Whether all that live hold exactly those alive that live."""
-        truth = sorted((node.name, node.address) for node in self.nodes.values())
+        truth = self.truth()
         return all([(word.name, word.address) for word in node.membership.view.living()] == truth
                    and all(word.state is State.ALIVE for word in node.membership.view.living())
                    for node in self.nodes.values())
 
+    def truth(self) -> list[tuple[str, Address]]:
+        """Who lives, by name."""
+        return sorted((node.name, node.address) for node in self.nodes.values())
+
     def false_deaths(self) -> int:
         """How often one that lived was declared dead by one that lived."""
         return sum(news.word.state is State.DEAD for _, _, news in self.news)
@@ -182,5 +192,8 @@
         self.bytes_out[node.name, int(self.now)] += message_size(message) + ENVELOPE
         if self.cut(node.address, to) or self.rng.random() < self.loss:
             return
-        when = self.now + self.rng.uniform(*self.delay)
-        heappush(self._events, (when, next(self._order), to, 0, message, node.address))
+        self._post(self.rng.uniform(*self.delay), node.address, to, message)
+
+    def _post(self, takes: float, source: Address, to: Address, message: Message) -> None:
+        """It is there after so long (s)."""
+        heappush(self._events, (self.now + takes, next(self._order), to, 0, message, source))
--- a/tests/test_capacity_fleet.py
+++ b/tests/test_capacity_fleet.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 
 import pytest
 
+from pipitshed.lab.virtual_fleet import Fleet, region, worst
+from pipitshed.lab.virtual_view import Node
 from pipitshed.membership import protocol
 from pipitshed.membership.members import State, Word
 from pipitshed.membership.messages import Exchange
@@ -18,6 +21,65 @@
     return Word(f"n{number}", "127.0.0.1", 10_000 + number, "z", 1, 1, state, "n0")
 
 
+def joined(size: int, rows: int = 0) -> Fleet:
+    """A fleet in 3 regions that agrees, with so many rows of settings, and has nothing left to tell."""
+    fleet = Fleet(seed=7)
+    first, *_ = fleet.fleet(size)
+    assert fleet.until(fleet.quiet, 30.0, 0.5) is not None
+    put(fleet, first, range(rows))
+    assert fleet.until(fleet.quiet, 60.0, 0.5) is not None
+    fleet.count_anew()
+    return fleet
+
+
+def put(fleet: Fleet, writer: Node, rows: Iterable[int]) -> None:
+    fleet.put(writer, *((f"team-{row:03}", b'{"share":%.6f}' % fleet.rng.random()) for row in rows))
+
+
+def test_what_a_scheduler_sends_at_rest_does_not_grow_with_the_fleet() -> None:
+    sent = {}
+    for size in (20, 80):
+        fleet = joined(size, rows=40)
+        fleet.run(20.0)
+        sent[size] = sum(one.bytes for one in fleet.out.values()) / size / 20.0
+    assert sent[80] == pytest.approx(sent[20], rel=0.1) and sent[80] <= 2000.0
+
+
+def test_a_scheduler_that_lost_everything_is_current_within_five_seconds() -> None:
+    fleet = joined(20, rows=100)
+    lost = list(fleet.nodes.values())[-1]
+    fleet.kill(lost)
+    fleet.run(1.0)
+    fleet.start(19, fleet.seeds)
+    assert fleet.until(fleet.whole, 5.0, 0.1) is not None
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.01])
+def test_twenty_changes_in_a_second_are_in_force_everywhere_within_five_and_the_budget(loss: float) -> None:
+    fleet = joined(20, rows=100)
+    fleet.loss = loss
+    writer = next(iter(fleet.nodes.values()))
+    for change in range(20):
+        put(fleet, writer, [change])
+        fleet.run(0.05)
+    assert fleet.until(fleet.one_table, 4.0, 0.1) is not None
+    assert worst(fleet.out.values()) < 9000
+
+
+def test_regions_that_changed_apart_are_whole_within_ten_seconds_of_meeting() -> None:
+    fleet = joined(20, rows=100)
+    fleet.part_region("centro")
+    inside = next(node for node in fleet.nodes.values() if region(fleet.zone(node.address)) == "centro")
+    outside = next(iter(fleet.nodes.values()))
+    put(fleet, inside, range(1000, 1050))
+    put(fleet, outside, range(50))
+    fleet.run(130.0)  # longer than a tombstone
+    fleet.heal()
+    fleet.count_anew()
+    assert fleet.until(fleet.whole, 10.0, 0.1) is not None
+    assert worst(fleet.out.values()) < 9000
+
+
 def test_many_suspected_one_after_the_other_cost_one_judgement_each(monkeypatch: pytest.MonkeyPatch) -> None:
     """A zone lost: its schedulers are suspected within the same seconds."""
     weighed = 0
