--- a/benchmarks/capacity/serving.py
+++ b/benchmarks/capacity/serving.py
@@ -232,15 +232,15 @@
 
 
 @contextlib.asynccontextmanager
-async def scheduler(made: dict[str, Any]) -> AsyncIterator[Scheduler]:
-    """`serve` with this configuration; it ends with the block."""
+async def scheduler(made: dict[str, Any], *words: str) -> AsyncIterator[Scheduler]:
+    """`serve` with this configuration, and these words on its command line; it ends with the block."""
     raise_descriptors(20000)
     with tempfile.TemporaryDirectory(prefix="pipitshed-capacity-") as folder:
         path = Path(folder)
         (path / "config.json").write_text(json.dumps(made))
         began = monotonic()
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "pipitshed", "serve", cwd=ROOT, stdout=asyncio.subprocess.PIPE,
+            sys.executable, "-m", "pipitshed", "serve", *words, cwd=ROOT, stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT, start_new_session=True,
             env=os.environ | {"LB_CONFIG": str(path / "config.json")})
         running = Scheduler(process, path, began)
--- /dev/null
+++ b/benchmarks/capacity/teams.py
@@ -0,0 +1,165 @@
+"""How far what is started lies from each team's quota, both ways, with today's rule: each scheduler allows an
+equal part of a quota, and only where planners are short of room.
+
+The decisions are the program's own, one `Dispatcher` a scheduler. Arrivals are modelled (Poisson), and so are
+the planners: all together start as many jobs a second as the quotas sum up to, and turn the others away.
+Every other team asks for three times its quota, the others for just their own.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import time
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+
+from benchmarks.capacity.records import Row
+from benchmarks.capacity.schedulers import each
+from pipitshed.decisions import interface as api
+from pipitshed.decisions.rules import Dispatcher
+from pipitshed.decisions.settings import settings_from
+from pipitshed.lab.program import settings
+
+SLOPE = "teams"
+SIZES = (10, 50, 100, 380)
+SCHEDULERS = (40, 150, 300)
+STARTS = 280.0  # a second, the whole fleet: the peak, and the sum of the quotas
+GREEDY = 3.0  # times its quota that every other team asks for
+WARM, MEASURED = 30.0, 120.0  # s
+PLANNERS = 40
+TURNED_MS, STARTED_MS = 5.0, 50.0  # until a planner has turned a job away, or is done with it
+BURST = 14.0  # starts that planners have room for at once: 50 ms of them
+CLIENT = 1.0  # jobs a second that one client asks for, at the most: it stays with one scheduler
+PARTS = ((0.5, "p50"), (0.99, "p99"), (1.0, "worst"))
+
+
+@dataclass
+class Team:
+    """What a team may, asks for and gets, in jobs."""
+
+    quota: float  # a second
+    asks: float  # a second
+    homes: list[int]  # schedulers that its clients stay with; empty where any will do
+    asked: int = 0
+    started: int = 0
+
+
+@dataclass
+class Site:
+    """All schedulers, the planners' room and what is due."""
+
+    dispatchers: list[Dispatcher]
+    teams: list[Team]
+    room: float  # starts a second
+    rng: random.Random
+    due: list[tuple[float, int, int, api.Event]] = field(default_factory=list)  # ms, order, scheduler, event
+    order: Iterator[int] = field(default_factory=count)
+    jobs: dict[int, tuple[int, int]] = field(default_factory=dict)  # its team, and its attempts so far
+    tokens: float = BURST
+    at: float = 0.0  # ms, of the tokens
+
+    def starts(self, now: float) -> bool:
+        """Whether a planner has room now."""
+        self.tokens = min(BURST, self.tokens + (now - self.at) / 1000 * self.room)
+        self.at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def play(self, seconds: float) -> None:
+        """Let jobs come for so long, and count those that come and start after the warm-up."""
+        end = seconds * 1000
+        for number, team in enumerate(self.teams):
+            self._arrive(number, team, 0.0)
+        while self.due and self.due[0][0] <= end:
+            now, _, place, event = heappop(self.due)
+            if isinstance(event, api.Submitted):
+                team = self.teams[event.tenant]
+                team.asked += now >= WARM * 1000
+                self.jobs[event.job] = event.tenant, 0
+                self._arrive(event.tenant, team, now)
+            elif isinstance(event, api.Finished) and event.settled:
+                team = self.teams[self.jobs.pop(event.job)[0]]
+                team.started += now >= WARM * 1000
+            for action in self.dispatchers[place].handle(now, [event]):
+                self._carry_out(now, place, action)
+
+    def _arrive(self, number: int, team: Team, now: float) -> None:
+        when = now + self.rng.expovariate(team.asks) * 1000
+        place = self.rng.choice(team.homes) if team.homes else self.rng.randrange(len(self.dispatchers))
+        self._at(when, place, api.Submitted(next(self.order), 5000.0, 0, number))
+
+    def _carry_out(self, now: float, place: int, action: api.Action) -> None:
+        if isinstance(action, api.SetTimer):
+            self._at(now + action.delay, place, api.TimerFired(action.token))
+        elif isinstance(action, api.Send):
+            team, attempt = self.jobs[action.job]
+            self.jobs[action.job] = team, attempt + 1
+            full = not self.starts(now)
+            takes = TURNED_MS if full else STARTED_MS
+            outcome = api.Outcome.FULL if full else api.Outcome.OK
+            self._at(now + takes, place,
+                     api.Finished(action.job, attempt, action.worker, outcome, takes, not full))
+
+    def _at(self, when: float, place: int, event: api.Event) -> None:
+        heappush(self.due, (when, next(self.order), place, event))
+
+
+def site(teams: int, schedulers: int, uneven: bool, room: float, seed: int) -> Site:
+    """A site whose quotas sum up to the starts: all alike, or by Zipf with clients that stay."""
+    rng = random.Random(seed)
+    parts = [1.0 / (rank + 1) if uneven else 1.0 for rank in range(teams)]
+    made = []
+    for place, part in enumerate(parts):
+        quota = STARTS * part / sum(parts)
+        asks = quota * (GREEDY if place % 2 else 1.0)
+        clients = math.ceil(asks / CLIENT) if uneven else 0
+        made.append(Team(quota, asks, [rng.randrange(schedulers) for _ in range(clients)]))
+    told = settings() | {"siblings": schedulers, "tenants": [
+        {"name": f"t{place}", "share": team.quota / STARTS, "allowancePerS": team.quota}
+        for place, team in enumerate(made)]}
+    listed = api.ListNews(api.ListKind.FULL, 1, tuple(
+        api.Entry(b"p%d" % place, zone=place % 3) for place in range(PLANNERS)))
+    dispatchers = [Dispatcher(settings_from(told), seed * 1000 + place) for place in range(schedulers)]
+    for dispatcher in dispatchers:
+        dispatcher.handle(0.0, [listed])
+    return Site(dispatchers, made, room, rng)
+
+
+def figures(played: Site) -> dict[str, float]:
+    """How far each team is from its quota, as parts of it: above, of those that ask for more; below, of what
+    the others ask for within it."""
+    over = [max(0.0, team.started / (team.quota * MEASURED) - 1.0) for team in played.teams
+            if team.asks > team.quota]
+    under = [max(0.0, (min(team.asked, team.quota * MEASURED) - team.started) / (team.quota * MEASURED))
+             for team in played.teams if team.asks <= team.quota]
+    told = {f"{name}_{called}_share": sorted(values)[math.ceil(len(values) * part) - 1]
+            for name, values in (("over", over), ("under", under)) for part, called in PARTS}
+    started = sum(team.started for team in played.teams)
+    return told | {"asked_per_s": sum(team.asked for team in played.teams) / MEASURED,
+                   "started_per_s": started / MEASURED}
+
+
+def cases(teams: int, limit_s: float) -> list[Row]:
+    """All cases of one number of teams."""
+    rows, until = [], time.monotonic() + limit_s
+    plays = [(schedulers, uneven, STARTS) for schedulers in SCHEDULERS for uneven in (False, True)]
+    for schedulers, uneven, room in [*plays, (SCHEDULERS[-1], True, 10 * STARTS)]:
+        case = f"{schedulers} schedulers, {'uneven' if uneven else 'even'}" + (
+            ", room for all" if room > STARTS else "")
+        if time.monotonic() > until:
+            rows.append(Row(SLOPE, teams, case, {}, False, f"over the {limit_s:.0f} s it had", virtual=True))
+            continue
+        played = site(teams, schedulers, uneven, room, seed=1)
+        played.play(WARM + MEASURED)
+        rows.append(Row(SLOPE, teams, case, figures(played), virtual=True))
+    return rows
+
+
+def measure(sizes: Sequence[int], limit_s: float) -> list[Row]:
+    """The rows of these numbers of teams."""
+    return each(cases, sizes, limit_s)
