--- a/benchmarks/capacity/regions.py
+++ b/benchmarks/capacity/regions.py
@@ -9,7 +9,7 @@
 
 from benchmarks.capacity.records import Row
 from benchmarks.capacity.schedulers import (
-    QUIET_WITHIN, SETTLED_WITHIN, TEAMS, Play, TimeOverError, body, each, number_of)
+    QUIET_WITHIN, SETTLED_WITHIN, TEAMS, Play, TimeOverError, body, each, key, number_of)
 from pipitshed.lab.virtual_fleet import Fleet, region
 from pipitshed.lab.virtual_view import Node
 
@@ -46,7 +46,7 @@
         newest |= {row.key: row for row in node.tables[0] if row.number > newest[row.key].number}
     lacked = 0
     for node in fleet.nodes.values():
-        lacked += sum(row.size for key, row in newest.items() if number_of(node, key) < row.number)
+        lacked += sum(row.size for name, row in newest.items() if number_of(node, name) < row.number)
         for other in fleet.nodes.values():
             held = node.membership.view.get(other.name)
             if held is None or held.gone or held.life != other.membership.me.life:
@@ -58,8 +58,7 @@
     """A region is cut off, restarts and changes on both sides, and it is whole again."""
     fleet = play.fleet
     writers = {lost: side(fleet, lost)[-1] for lost in (True, False)}
-    keys = {lost: [f"{'lost' if lost else 'rest'}-{number:03}" for number in range(TEAMS // 2)]
-            for lost in (True, False)}
+    keys = {lost: [key(number) for number in range(lost, TEAMS, 2)] for lost in (True, False)}
     for lost, writer in writers.items():
         play.settings(writer, keys[lost])
     play.holds(fleet.quiet, QUIET_WITHIN, 1.0)
@@ -84,15 +83,15 @@
     fleet = play.fleet
     nodes, older = list(fleet.nodes.values()), 0
     writer = nodes[-1].address
-    play.settings(nodes[-1], [f"team-{number:03}" for number in range(TEAMS)])
+    play.settings(nodes[-1], [key(number) for number in range(TEAMS)])
     play.holds(fleet.quiet, QUIET_WITHIN, 1.0)
     with play.counted() as spent:
         for wave in range(WAVES):
             going = [fleet.nodes[node.address] for node in nodes[wave::WAVES]]
             restart(fleet, going)
             play.run(WAVE_EVERY / 2)
-            play.settings(fleet.nodes[writer], [f"team-{number:03}" for number in
-                                                range(wave * WAVE_CHANGES, (wave + 1) * WAVE_CHANGES)])
+            play.settings(fleet.nodes[writer], [key(number) for number in range(
+                wave * WAVE_CHANGES, (wave + 1) * WAVE_CHANGES)])
             play.run(WAVE_EVERY / 2 - DOWN)
             older += sum(number_of(fleet.nodes[node.address], row.key) < row.number
                          for node in going for row in node.tables[0])
--- a/benchmarks/capacity/schedulers.py
+++ b/benchmarks/capacity/schedulers.py
@@ -119,9 +119,14 @@
         return {(key, number_of(writer, key)): self.fleet.now for key in keys}
 
 
+def key(team: int) -> str:
+    """The key of a team's quota, as operators put it."""
+    return f"tenant/team-{team:03}/allowancePerS"
+
+
 def body(fleet: Fleet) -> bytes:
-    """A team's limits, as a row holds them."""
-    return b'{"share":%.4f,"allowancePerS":%.3f}' % (fleet.rng.random(), fleet.rng.random() * 10)
+    """A team's quota, as a row holds it."""
+    return b"%.3f" % (fleet.rng.random() * 10)
 
 
 def number_of(node: Node, key: str) -> int:
@@ -150,7 +155,7 @@
     with play.counted() as spent:
         for burst in range(BURSTS):
             for place in range(BURST):
-                put |= play.settings(writer, [f"team-{burst * BURST + place:03}"])
+                put |= play.settings(writer, [key(burst * BURST + place)])
                 play.run(1.0 / BURST)
             play.run(EVERY - 1.0)
     took: dict[tuple[str, int], list[float]] = {change: [] for change in put}
@@ -187,7 +192,7 @@
     try:
         first, *_ = fleet.fleet(size)
         play.to_one_view("join storm")
-        play.settings(first, [f"team-{number:03}" for number in range(TEAMS)])
+        play.settings(first, [key(number) for number in range(TEAMS)])
         play.to_one_view("all settings put at once", rows=float(TEAMS))
         held = (memory_mb(os.getpid()) - before) / size
         with play.counted() as spent:
