The note on replication as built; streams between schedulers are for operators alone

`Streams.ask` had no caller since the view's repairs go in datagrams: it is out, with `streams_failed` on the operators' page.

--- a/pipitshed/membership/timing.py
+++ b/pipitshed/membership/timing.py
@@ -15,7 +15,7 @@
     helpers: int = 3  # asked to probe in one's place
     suspect_for: float = 4.0  # periods, times log10 of the fleet: the shortest that a suspicion lasts
     suspect_longest: float = 4.0  # times that, with no confirmation
-    sync: float = 3.0  # between full exchanges with one peer
+    sync: float = 3.0  # between looks for one that told another digest, to repair with
     sync_with_gone: float = 10.0  # between attempts to reach one that is held dead
     tombstones: float = 120.0  # a member that is gone is held so long
 
--- a/pipitshed/peers/streams.py
+++ b/pipitshed/peers/streams.py
@@ -1,4 +1,4 @@
-"""Streams between schedulers: one message, and one in answer, for what does not fit into a datagram."""
+"""Streams by which operators ask a scheduler: one message, and one in answer."""
 
 from __future__ import annotations
 
@@ -13,7 +13,6 @@
 
 WITHIN = 2.0  # s in which a stream's message and its answer are there
 MOST = 32  # streams open to this scheduler; what comes beyond is closed
-ASKED_MOST = 8  # streams that this scheduler opens at a time
 
 
 def framed(data: bytes) -> bytes:
@@ -24,9 +23,8 @@
 class _Stream(asyncio.Protocol):
     """One stream. It reads whole messages, and ends by itself when its time is over."""
 
-    def __init__(self, streams: Streams, first: bytes = b"") -> None:
+    def __init__(self, streams: Streams) -> None:
         self._streams = streams
-        self._first = first  # what is written once it stands
         self._buffer = Buffer(FRAME_LIMIT + LENGTH.size)
         self._due: asyncio.TimerHandle | None = None
         self.transport: asyncio.Transport | None = None
@@ -37,8 +35,6 @@
         self.address = transport.get_extra_info("peername")[:2]
         self._due = self._streams.loop.call_later(WITHIN, self.abort)
         self._streams.opened(self)
-        if self._first:
-            self.transport.write(self._first)
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self._due is not None:
@@ -69,11 +65,6 @@
             self.transport.write(framed(data))
             self.transport.close()
 
-    def end(self) -> None:
-        """Close: all has been said."""
-        if self.transport is not None:
-            self.transport.close()
-
     def abort(self) -> None:
         """Close at once."""
         if self.transport is not None:
@@ -89,8 +80,7 @@
         self.loop = loop
         self.count = count
         self._hear = hear
-        self._open: set[_Stream] = set()  # that came from others
-        self._asked: set[asyncio.Task[None]] = set()
+        self._open: set[_Stream] = set()
         self._answering: dict[Address, _Stream] = {}
 
     def incoming(self) -> asyncio.Protocol:
@@ -98,9 +88,7 @@
         return _Stream(self)
 
     def opened(self, stream: _Stream) -> None:
-        """A stream stands, from here or from another."""
-        if stream._first:
-            return
+        """A stream that another opened stands."""
         if len(self._open) >= MOST:
             # Guards against strangers that open streams and say nothing: the oldest gives way only by its
             # time, so that a flood can't end the exchanges that are under way.
@@ -121,8 +109,6 @@
             self._hear(message, stream.address)
         finally:
             del self._answering[stream.address]
-        if stream._first:
-            stream.end()
 
     def answer(self, to: Address, data: bytes) -> bool:
         """Answer on the stream that is being heard; False where `to` is none."""
@@ -137,28 +123,7 @@
         stream = self._answering.get(to)
         return stream.answer if stream is not None else None
 
-    def ask(self, to: Address, data: bytes, from_host: str) -> None:
-        """Open a stream, write one message and hear what comes back. Nothing is told where it fails: whoever
-        asks, asks again in its own time."""
-        if len(self._asked) >= ASKED_MOST:
-            self.count("streams_put_off")
-            return
-        task = self.loop.create_task(self._ask(to, data, from_host))
-        self._asked.add(task)
-        task.add_done_callback(self._asked.discard)
-
-    async def _ask(self, to: Address, data: bytes, from_host: str) -> None:
-        self.count("streamed_out")
-        try:
-            async with asyncio.timeout(WITHIN):
-                await self.loop.create_connection(lambda: _Stream(self, framed(data)), *to,
-                                                  local_addr=(from_host, 0) if from_host else None)
-        except (OSError, TimeoutError):
-            self.count("streams_failed")
-
     def close(self) -> None:
         """End all of them."""
-        for task in self._asked:
-            task.cancel()
         for stream in list(self._open):
             stream.abort()
