Only an exchange that fetched all that differed makes a table caught up

Cause: `Repair` reported an exchange as whole also where it had looked at one range alone (`look`), where its time was over, and where an answer that had no room for everything brought nothing new (`told` dropped its ranges). A writer that restarted could then put over a row that it did not hold.

--- a/pipitshed/replication/repair.py
+++ b/pipitshed/replication/repair.py
@@ -57,7 +57,7 @@
 
 @dataclass(slots=True)
 class Done:
-    """An exchange that this side led has ended. Not `whole` where its peer fell silent."""
+    """An exchange that this side led has ended; `whole` where all that differed was fetched."""
 
     table: int
     peer: Address
@@ -83,6 +83,7 @@
     lacks: int = 0  # items here, by the counts that the peer told
     gained: int = 0
     gave: bool = False
+    partly: bool = False  # some of what differs was not looked at, or not fetched
 
 
 class Repair:
@@ -135,7 +136,8 @@
         tree, node = self._tables[table].tree, ROOT
         while tree.node(node)[1] > LEAF and depth(node) < DEPTH:
             node = node * WAYS + self._rng.randrange(WAYS)
-        return self._lead(now, _Exchange(table, peer, now + LASTS, fetch={node: (UNKNOWN, LEAF)}))
+        return self._lead(now, _Exchange(table, peer, now + LASTS, fetch={node: (UNKNOWN, LEAF)},
+                                         partly=True))
 
     def _lead(self, now: float, exchange: _Exchange) -> list[Out]:
         self._led[exchange.table, exchange.peer] = exchange
@@ -159,17 +161,18 @@
                 one.again = one.asked if isinstance(one.asked, Compare) else None
                 one.asked = None
             if one.tries >= TRIES or now >= one.ends:
+                one.partly = True
                 self._end(now, one, one.tries < TRIES)
             else:
                 out += self._next(now, one)
         return out
 
-    def _end(self, now: float, one: _Exchange, whole: bool) -> None:
+    def _end(self, now: float, one: _Exchange, answered: bool) -> None:
         del self._led[one.table, one.peer]
-        self.done.append(Done(one.table, one.peer, whole, one.gained))
+        self.done.append(Done(one.table, one.peer, not one.partly, one.gained))
         place = one.table, one.peer
         strikes, _ = self._strikes.pop(place, (0, 0.0))
-        if whole and (one.gained or one.gave or not one.differed):
+        if answered and (one.gained or one.gave or not one.differed):
             return
         # Guards against a peer that is silent, or whose digests never match what it tells.
         strikes = min(MOST_STRIKES, strikes + 1)
@@ -312,6 +315,7 @@
         one.differed = one.differed or gained > 0
         one.wide = min(MOST_WIDE, one.wide * 2) if message.whole else max(1, one.wide // 2)
         if message.whole or not gained:
+            one.partly = one.partly or not message.whole
             for node in one.asked.ranges:
                 one.fetch.pop(node, None)
         one.asked, one.tries = None, 0
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -18,10 +18,13 @@
 from pipitshed.replication.carrier import message_size
 from pipitshed.replication.digests import DEPTH, ROOT, WAYS, Tree, depth
 from pipitshed.replication.messages import UNPACKED, Compare, Items, Rows, pack, unpack
+from pipitshed.replication.repair import Out, Repair
 from pipitshed.replication.row import FORM, Row, rank
 from pipitshed.replication.rows import RowError, RowTable, Taken
 from pipitshed.replication.rumours import Rumours, tellings
 
+THERE = ("127.0.0.1", 1)
+ROWS = msgspec.msgpack.Decoder(tuple[Row, ...])
 WITHIN = 5.0  # s in which a change is in force everywhere
 A_SECOND = 9000  # bytes that a scheduler may send in each
 
@@ -136,6 +139,37 @@
     until(network, lambda: same(network) and all(node.tables[0].caught_up for node in new), 40.0)
 
 
+def test_only_an_exchange_that_fetched_all_catches_up() -> None:
+    """Not a look at one range, nor answers that had no room for what they should have told."""
+    me, peer = RowTable("settings"), table()
+    for number in range(600):
+        peer.put(f"quota/t{number}", random.Random(number).randbytes(40), "w")
+    ends = [Repair([one], Budget(1, 0.0, rate=1e9, burst=1e9), random.Random(1), 40) for one in (me, peer)]
+
+    def play(told: list[Out], cut_short: bool = False) -> bool:
+        while told:
+            message = told.pop().message
+            told += [answer for out in answers(ends[1], message, peer) for answer in answers(
+                ends[0], msgspec.structs.replace(out, packed=pack(()), whole=False)
+                if cut_short and isinstance(out, Rows) and out.ranges else out, me, leads=True)]
+        return ends[0].done.pop().whole
+
+    def answers(end: Repair, message: object, held: RowTable, leads: bool = False) -> list[object]:
+        if isinstance(message, Rows):
+            new = [row for row in unpack(message.packed, ROWS) if held.take(row) is Taken.NEW]
+            out = end.told(0.0, THERE, message, len(new), [])
+        else:
+            out = (end.compared if isinstance(message, Compare) else end.asked)(
+                0.0, THERE, message)  # type: ignore[operator]
+        return list(out) if leads else [one.message for one in out]
+
+    assert not play(ends[0].look(0.0, 0, THERE))
+    for number in range(300):
+        me.take(peer.get(f"quota/t{number}"))  # type: ignore[arg-type]
+    assert not play(ends[0].begin(0.0, 0, THERE), cut_short=True)
+    assert play(ends[0].begin(0.0, 0, THERE)) and me.digest() == peer.digest()
+
+
 def test_two_contents_under_one_number_have_one_winner_everywhere() -> None:
     network = joined(4)
     network.put(nodes(network)[0], ("quota/red", b"0"))
@@ -484,8 +518,7 @@
 @given(st.lists(rows()).map(tuple), st.binary(max_size=40), st.integers(0, 200))
 def test_what_is_packed_comes_back_and_what_is_damaged_or_swollen_is_nothing(
         told: tuple[Row, ...], junk: bytes, cut: int) -> None:
-    form = msgspec.msgpack.Decoder(tuple[Row, ...])
-    assert unpack(pack(told), form) == told
-    assert unpack(pack(told)[:cut], form) in ((), told)
-    assert isinstance(unpack(junk, form), tuple)
-    assert unpack(pack(Row("k", 1, 1, "w", bytes(2 * UNPACKED))), form) == ()
+    assert unpack(pack(told), ROWS) == told
+    assert unpack(pack(told)[:cut], ROWS) in ((), told)
+    assert isinstance(unpack(junk, ROWS), tuple)
+    assert unpack(pack([Row("k", 1, 1, "w", bytes(2 * UNPACKED))]), ROWS) == ()
