--- a/benchmarks/capacity/records.py
+++ b/benchmarks/capacity/records.py
@@ -81,9 +81,10 @@
 
 
 def commit() -> str:
-    """The commit that is checked out; `+` behind it where the program differs from it."""
-    changed = _git("status", "--porcelain", "--", "pipitshed", "benchmarks")
-    return _git("rev-parse", "--short=8", "HEAD") + ("+" if changed else "")
+    """The last commit that changed the program, as others may be rebased away; `+` behind it where the
+    program differs from it."""
+    changed = _git("status", "--porcelain", "--", "pipitshed")
+    return _git("log", "-1", "--format=%h", "--abbrev=8", "--", "pipitshed") + ("+" if changed else "")
 
 
 def machine() -> str:
