--- a/pipitshed/lab/fleet/puts.py
+++ b/pipitshed/lab/fleet/puts.py
@@ -58,6 +58,7 @@
         other = bool(held) and held[0].writer != process.name
         done = await self._ask(process, PutRow(put.key, put.value.encode(), over, other), PutDone)
         if done.why:
+            self._log("refused", key=put.key, process=process.name, why=done.why)
             return "refused", (0, 0)
         version = done.term, done.number
         until = monotonic() + WITHIN
