The rig asks no second scheduler for a keyed job that a killed one may have taken

Cause: `HttpClients._ask` calls a request untaken where a kept connection ends without a byte, and `Play._asked` then asks another scheduler, as the platform's front does. Where the first was killed (SIGKILL) behind a request that it had read and sent on, the kernel ends the connection just the same: the rig itself asked for the second run, in another zone. Ruled out: a second attempt by the program, as the forced crossing shows the rig asking twice with no scheduler of ours at all.

--- a/pipitshed/lab/clients.py
+++ b/pipitshed/lab/clients.py
@@ -42,6 +42,7 @@
     wrong: str = ""  # what of a served result is not as asked for
     detail: str = ""
     untaken: bool = False  # the connection was refused, or a kept one had been closed before the request
+    kept: bool = False  # it went out on a kept connection
 
 
 def draw(rng: random.Random, token: str, mix: dict[str, float], cancel: float, unfit: float,
@@ -113,8 +114,8 @@
             asked.untaken = isinstance(error, ConnectionRefusedError)
 
     async def _ask(self, asked: Asked) -> None:
-        kept_before = bool(self._free)
-        reader, writer = (self._free.pop() if kept_before else
+        asked.kept = bool(self._free)
+        reader, writer = (self._free.pop() if asked.kept else
                           await asyncio.open_connection(self.host, self.port))
         data = body(asked)
         head = {"Host": "lab", "Content-Length": str(len(data))}
@@ -142,7 +143,7 @@
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             asked.outcome, asked.detail = "unanswered", repr(error)
             empty = isinstance(error, asyncio.IncompleteReadError) and not error.partial
-            asked.untaken = kept_before and empty
+            asked.untaken = asked.kept and empty
         asked.ended = monotonic()
         # Anything more that stands there unread is a second answer.
         if kept and reader._buffer:  # type: ignore[attr-defined]
--- a/pipitshed/lab/fleet/processes.py
+++ b/pipitshed/lab/fleet/processes.py
@@ -65,6 +65,7 @@
         self.up = False  # takes clients
         self.paused = False
         self.ending = False  # was told to end, or killed
+        self.killed = 0  # the last of its starts that was killed
         self.running: asyncio.subprocess.Process | None = None
 
     async def open(self, members: Sequence[Member]) -> None:
@@ -124,7 +125,7 @@
 
     def kill(self) -> None:
         """SIGKILL; whatever it was doing."""
-        self.up, self.ending = False, True
+        self.up, self.ending, self.killed = False, True, self.starts
         if self.running is not None and self.running.returncode is None:
             self.running.kill()
         self.fleet.log("kill", process=self.name, place=self.place, start=self.starts)
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import random
 import tempfile
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 import uvloop
 
+from pipitshed.lab.clients import Asked, HttpClients
 from pipitshed.lab.fleet import oracles
-from pipitshed.lab.fleet.play import play, smallest
+from pipitshed.lab.fleet.play import Play, play, smallest
 from pipitshed.lab.fleet.scenario import (
     Fault, Mix, Scenario, ScenarioError, Shape, Traffic, drawn, read, script)
 from pipitshed.membership.timing import Scales
@@ -166,3 +170,45 @@
     assert oracles.false_deaths(logs(deaths=[(3.0, "s1", 11)])) == 1
     assert oracles.false_deaths(logs(deaths=[(3.0, "s1", 10)])) == 0  # it was dead
     assert oracles.false_deaths(logs(deaths=[(3.0, "s1", 11)], away=[(2.0, 4.0)])) == 0
+
+
+@pytest.mark.parametrize(("job_class", "killed", "asked_again"), [
+    ("book", True, False), ("book", False, True), ("quote", True, True)])
+def test_a_keyed_job_that_a_killed_scheduler_may_have_taken_is_not_asked_of_another(
+        job_class: str, killed: bool, asked_again: bool) -> None:
+    """The failure met, twice on a busy machine: a scheduler was killed behind a request that it had
+    read from a kept connection and sent on; the rig took it for untaken, and the job ran in a second zone."""
+    async def run() -> None:
+        heads: list[int] = []
+
+        async def serve(place: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                await reader.readexactly(int(head.lower().partition(b"content-length: ")[2].split(b"\r")[0]))
+                heads.append(place)
+                if place == 0 and len(heads) > 1:
+                    if killed:
+                        places[0].up, places[0].killed = False, places[0].starts
+                    writer.close()
+                    return
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+
+        def on(place: int) -> Any:
+            return lambda reader, writer: serve(place, reader, writer)
+
+        servers = [await asyncio.start_server(on(place), "127.0.0.1", 0) for place in range(2)]
+        places = [SimpleNamespace(place=place, starts=1, up=True, killed=0, real=("127.0.0.1", 0))
+                  for place in range(2)]
+        rig = Play.__new__(Play)
+        rig.processes, rig.targets, rig._rng = SimpleNamespace(all=places), {}, random.Random(2)  # type: ignore
+        rig._clients = {place: HttpClients(server.sockets[0].getsockname()[1])
+                        for place, server in enumerate(servers)}
+        jobs = [Asked(token, "http-v1", job_class, token, "t", 1.0, 1) for token in ("a", "b")]
+        for job in jobs:
+            await rig._asked(job, places[0])  # type: ignore[arg-type]
+        assert heads[:2] == [0, 0] and (len(heads) > 2) == asked_again
+        for clients in rig._clients.values():
+            clients.close()
+        for server in servers:
+            server.close()
+
+    asyncio.run(run())
