--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -347,7 +347,7 @@
     for number in range(20):
         network.put(nodes(network)[number % 6], (f"quota/t{number}", b"1"))
         network.run(0.05)
-    network.run(1.5)
+    network.run(4.0)
     network.cut = lambda source, target: False
     until(network, lambda: same(network), WITHIN)
 
