--- a/pipitshed/replication/repair.py
+++ b/pipitshed/replication/repair.py
@@ -298,7 +298,7 @@
                 self._waiting[message.table, peer] = message
                 self._answer_at = now + SOON
             return []
-        wants = _written(list(theirs - {mark for mark, _ in ours})[:room // 4 // MARK])
+        wants = _written(sorted(theirs - {mark for mark, _ in ours})[:room // 4 // MARK])
         room -= len(wants)
         lacking = [key for mark, key in ours if mark not in theirs]
         told, packed = self.packed(table, lacking, room)
@@ -328,8 +328,8 @@
         """Tell a peer what it wants, and what it holds in an older version."""
         held, out = self._tables[message.table], []
         wants = _read(message.wants)
-        keys = list({key for node in message.ranges[:MOST_RANGES] if wants and sound(node)
-                     for mark, key in held.tree.marks(node, message.salt) if mark in wants} | set(newer))
+        keys = sorted({key for node in message.ranges[:MOST_RANGES] if wants and sound(node)
+                       for mark, key in held.tree.marks(node, message.salt) if mark in wants} | set(newer))
         while keys:
             room = min(ROOM, self._budget.room(now, message.table, LEAST + self._frame) - self._frame)
             told, packed = self.packed(held, keys, room)
