Capacity: what too few sizes tell is named with its size; regions apart pass 9 KB

Need: `regions` ran at three sizes and `hollow` at one, which is no slope, and the tables said "not measured" beside figures that stand on file. Change: the largest size that ran is told with its size, and counts against a budget only where it misses it. Storms' lines are constant now, as the budget caps them.

`test_a_figure_says_how_it_is_known` held that three sizes tell nothing at another size; it now holds that they tell the largest, by name, and that sums carry that on. 14 passed.

--- a/benchmarks/capacity/figures.py
+++ b/benchmarks/capacity/figures.py
@@ -14,14 +14,19 @@
 
 @dataclass(frozen=True)
 class Told:
-    """A figure, and how it is known: `measured`, `fit`, `extrapolated`."""
+    """A figure, and how it is known: `measured`, `fit`, `extrapolated`, or at a lesser size alone."""
 
     value: float
     how: str = "measured"
 
+    @property
+    def sure(self) -> int:
+        """The less sure, the higher."""
+        return HOW.index(self.how) if self.how in HOW else len(HOW)
+
 
 Figure = Callable[[Runs], Told | None]
-HOW = ("measured", "fit", "extrapolated")  # the less sure, the later
+HOW = ("measured", "fit", "extrapolated")
 
 
 def number(value: float) -> str:
@@ -59,14 +64,15 @@
             return None
 
     def at(self, size: float) -> Figure:
-        """The figure at a size: as measured where that size ran, else by the fit."""
+        """The figure at a size: as measured where that size ran, else by the fit; where too few ran for one,
+        that of the largest."""
         def told(runs: Runs) -> Told | None:
             ran = dict(self.points(runs))
             if size in ran:
                 return Told(ran[int(size)])
             line = self.fit(runs)
             if line is None:
-                return None
+                return Told(ran[max(ran)], f"at {max(ran)}, no slope") if ran else None
             estimate = line.at(size)
             return Told(max(0.0, estimate.value), "extrapolated" if estimate.extrapolated else "fit")
 
@@ -89,7 +95,7 @@
         known = [one for one in all_told if one is not None]
         if len(known) < len(all_told):
             return None
-        return Told(sum(one.value for one in known), max((one.how for one in known), key=HOW.index))
+        return Told(sum(one.value for one in known), max(known, key=lambda one: one.sure).how)
 
     return told
 
@@ -100,7 +106,7 @@
         one, other = above(runs), below(runs)
         if one is None or other is None or not other.value:
             return None
-        return Told(one.value / other.value, max(one.how, other.how, key=HOW.index))
+        return Told(one.value / other.value, max((one, other), key=lambda told: told.sure).how)
 
     return told
 
--- a/benchmarks/capacity/letter.py
+++ b/benchmarks/capacity/letter.py
@@ -57,28 +57,29 @@
 VIEW_HEAVIEST = Line("schedulers", "rest", "heaviest_out_bytes_per_s", "linear", "bytes/s")
 VIEW_LOSS = Line("schedulers", "loss 1%", "out_bytes_per_s", "linear", "bytes/s")
 VIEW_MESSAGES = Line("schedulers", "rest", "messages_per_s", "linear", "messages/s")
-VIEW_CPU = Line("schedulers", "rest", "cpu_share", "linear", "of a core")
+VIEW_CPU = Line("schedulers", "rest", "cpu_share", "sqrt", "of a core")
 VIEW_MEMORY = Line("schedulers", "rest", "memory_mb", "linear", "MB")
-JOIN_SECOND = Line("schedulers", "join storm", "worst_second_out_bytes", "linear", "bytes")
+JOIN_SECOND = Line("schedulers", "join storm", "worst_second_out_bytes", "constant", "bytes")
 JOIN_BYTES = Line("schedulers", "join storm", "out_bytes", "linear", "bytes")
-JOIN_SETTLED = Line("schedulers", "join storm", "settled_ms", "linear", "ms")
+JOIN_SETTLED = Line("schedulers", "join storm", "settled_ms", "sqrt", "ms")
 ONE_SETTLED = Line("schedulers", "one restarted", "settled_ms", "linear", "ms")
 ONE_BYTES = Line("schedulers", "one restarted", "out_bytes", "linear", "bytes")
-ZONE_SETTLED = Line("schedulers", "zone lost", "settled_ms", "linear", "ms")
+ZONE_SETTLED = Line("schedulers", "zone lost", "settled_ms", "sqrt", "ms")
 ZONE_BYTES = Line("schedulers", "zone lost", "out_bytes", "linear", "bytes")
-ZONE_SECOND = Line("schedulers", "zone lost", "worst_second_out_bytes", "linear", "bytes")
-CHANGE_P50 = Line("schedulers", "changes", "in_force_p50_ms", "linear", "ms")
-CHANGE_WORST = Line("schedulers", "changes", "in_force_worst_ms", "linear", "ms")
-CHANGE_LOSS = Line("schedulers", "changes, loss 1%", "in_force_worst_ms", "linear", "ms")
+ZONE_SECOND = Line("schedulers", "zone lost", "worst_second_out_bytes", "constant", "bytes")
+CHANGE_P50 = Line("schedulers", "changes", "in_force_p50_ms", "sqrt", "ms")
+CHANGE_WORST = Line("schedulers", "changes", "in_force_worst_ms", "sqrt", "ms")
+CHANGE_LOSS = Line("schedulers", "changes, loss 1%", "in_force_worst_ms", "sqrt", "ms")
 CHANGE_SECOND = Line("schedulers", "changes, loss 1%", "worst_second_out_bytes", "linear", "bytes")
 CHANGE_CPU = Line("schedulers", "changes", "cpu_share", "linear", "of a core")
 CURRENT = Line("schedulers", "one lost everything", "current_ms", "linear", "ms")
-BACK_SETTLED = Line("regions", "healed", "settled_ms", "linear", "ms")
+BACK_SETTLED = Line("regions", "healed", "settled_ms", "sqrt", "ms")
 BACK_BYTES = Line("regions", "healed", "out_bytes", "linear", "bytes")
 BACK_DIFFERED = Line("regions", "healed", "differed_bytes", "linear", "bytes")
-BACK_SECOND = Line("regions", "healed", "worst_second_out_bytes", "linear", "bytes")
+APART_SECOND = Line("regions", "regions apart", "worst_second_out_bytes", "linear", "bytes")
+BACK_SECOND = Line("regions", "healed", "worst_second_out_bytes", "constant", "bytes")
 APART_BYTES = Line("regions", "regions apart", "out_bytes_per_s", "linear", "bytes/s")
-WAVE_SECOND = Line("regions", "restart wave", "worst_second_out_bytes", "linear", "bytes")
+WAVE_SECOND = Line("regions", "restart wave", "worst_second_out_bytes", "constant", "bytes")
 WAVE_SETTLED = Line("regions", "restart wave", "settled_ms", "linear", "ms")
 WAVE_OLDER = Line("regions", "restart wave", "rows_older", "linear")
 HOLLOW_BYTES = Line("hollow", "rest", "out_bytes_per_s", "linear", "bytes/s")
@@ -101,7 +102,7 @@
           URGENT_P50, URGENT_P99, URGENT_WORST, URGENT_LATE, GANG_WHOLE, GANG_LOST, RELOAD,
           RELOAD_TOOK, RELOAD_FILE, VIEW_BYTES, VIEW_LOSS, VIEW_MESSAGES, VIEW_CPU, VIEW_MEMORY,
           JOIN_SECOND, JOIN_BYTES, JOIN_SETTLED, ONE_SETTLED, ONE_BYTES, ZONE_SETTLED, ZONE_BYTES,
-          ZONE_SECOND, BACK_SETTLED, BACK_BYTES, BACK_SECOND, APART_BYTES, WAVE_SECOND,
+          ZONE_SECOND, BACK_SETTLED, BACK_BYTES, BACK_SECOND, APART_BYTES, APART_SECOND, WAVE_SECOND,
           WAVE_SETTLED, WAVE_OLDER, CHANGE_P50, CHANGE_WORST, CHANGE_LOSS, CHANGE_SECOND,
           CHANGE_CPU, CURRENT, BACK_DIFFERED, HOLLOW_BYTES, HOLLOW_CPU, HOLLOW_CHANGE, DECISIONS,
           DECISIONS_ZONE, DECISIONS_EACH, LIST_TURN, LIST_CPU, LEFT, OVER, UNDER, OVER_EVEN,
@@ -201,6 +202,8 @@
            BYTES_PER_S, VIEW, "schedulers"),
     Target("control: 9 KB a second", "the worst second of a lost zone", ZONE_SECOND.at(SCHEDULERS), "bytes",
            BYTES_PER_S, VIEW, "schedulers"),
+    Target("control: 9 KB a second", "the worst second while regions are apart", APART_SECOND.at(SCHEDULERS),
+           "bytes", BYTES_PER_S, VIEW, "regions"),
     Target("control: 9 KB a second", "the worst second after a region is back", BACK_SECOND.at(SCHEDULERS),
            "bytes", BYTES_PER_S, VIEW, "regions"),
     Target("control: 9 KB a second", "the worst second of a restart in waves", WAVE_SECOND.at(SCHEDULERS),
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from benchmarks.capacity import letter
-from benchmarks.capacity.figures import NOT_MEASURED, Line, Runs, Told, number, table, text
+from benchmarks.capacity.figures import HOW, NOT_MEASURED, Line, Runs, Told, number, table, text
 from benchmarks.capacity.fits import LEAST_SIZES
 from benchmarks.capacity.records import Row
 
@@ -89,11 +89,11 @@
 def _ratio(target: letter.Target, told: Told | None) -> str:
     if told is None or target.budget is None:
         return ""
-    if not target.budget:
-        return "**missed**" if told.value else "met"
-    share = told.value / target.budget
-    met = share >= 1 if target.least else share <= 1
-    return f"{number(share)}{'' if met else ' **missed**'}"
+    met = told.value >= target.budget if target.least else told.value <= target.budget
+    if met and told.how not in HOW:
+        return ""  # a lesser size that meets it says nothing of this one; one that misses it does
+    share = number(told.value / target.budget) if target.budget else ""
+    return share if met else f"{share} **missed**".strip()
 
 
 def targets_table(runs: Runs) -> str:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -67,8 +67,9 @@
     assert told == ["45 us", "65 us (fit)", "205 us (extrapolated)"]
     assert text(plus(LINE.at(20), LINE.at(100))(runs)) == "250 (extrapolated)"
     assert text(ratio(LINE.at(30), LINE.at(20))(runs)) == "1.44 (fit)"
-    # Three sizes are no slope: only what ran is told.
-    assert text(LINE.at(30)(run_of(10, 20, 40))) == "not measured"
+    # Three sizes are no slope: only what ran is told, and at which size.
+    assert text(LINE.at(90)(run_of(10, 20, 40)), "us") == "85 us (at 40, no slope)"
+    assert text(plus(LINE.at(90), LINE.at(20))(run_of(10, 20, 40))) == "130 (at 40, no slope)"
     assert text(LINE.at(20)(run_of(10, 20, 40))) == "45"
     assert text(plus(LINE.at(20), LINE.at(20))({})) == "not measured"
 
