Settings by row know no configuration: the scheduler lays their values over its own

Need: imports point downwards, and peers.rows imported config, which stands above it. Change: Tuned hands in the file as it was read, and takes settings with other values in them; the scheduler makes the configuration (resettled). test_settings_fleet's stand-in for the scheduler does the same; no assertion changed. tests/test_settings_fleet.py, test_settings_rows.py, test_settings_rig.py, test_run_as_shipped.py: 63 passed.

--- a/pipitshed/peers/rows.py
+++ b/pipitshed/peers/rows.py
@@ -14,7 +14,6 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
-from pipitshed.config import Config, resettled
 from pipitshed.membership.members import Address, Word
 from pipitshed.membership.members import State as MemberState
 from pipitshed.peers import rowsfile
@@ -55,8 +54,8 @@
 class Tuned:
     """The scheduler whose settings the rows change."""
 
-    config: Callable[[], Config]  # in force
-    retune: Callable[[Config], object]
+    raw: Callable[[], dict[str, Any]]  # the file in force, as it was read
+    retune: Callable[[dict[str, Any]], object]  # take its settings with other values in them
     fixed: frozenset[str] = frozenset()  # classes that it can't change while it runs
 
 
@@ -165,27 +164,27 @@
             self._take_up()
 
     def _act(self, rows: tuple[Row, ...], digest: bytes, stood: Mapping[str, Row]) -> None:
-        config, before = self._tuned.config(), self._confirmations.state.acted
-        laid = self._lay(config, rows, digest, stood)
+        before = self._confirmations.state.acted
+        laid = self._lay(self._tuned.raw(), rows, digest, stood)
         if laid.acted != before:
-            self._tuned.retune(resettled(config, laid.raw["settings"]))
+            self._tuned.retune(laid.raw["settings"])
         for row, reply in self._replies:
             reply(PutDone(self._me.name, "", row.term, row.number))
         self._replies.clear()
 
-    def over(self, config: Config) -> Config:
-        """A file that is read anew, with the rows over it."""
+    def over(self, raw: dict[str, Any]) -> dict[str, Any]:
+        """The settings of a file that is read anew, with the rows over them."""
         state = self._confirmations.state
         if not state.held:
-            return config
-        laid = self._lay(config, tuple(state.held.values()), state.digest, state.acted, anew=True)
-        return resettled(config, laid.raw["settings"])
+            settings: dict[str, Any] = raw["settings"]
+            return settings
+        laid = self._lay(raw, tuple(state.held.values()), state.digest, state.acted, anew=True)
+        return laid.raw["settings"]  # type: ignore[no-any-return]
 
-    def _lay(self, config: Config, rows: tuple[Row, ...], digest: bytes, stood: Mapping[str, Row],
+    def _lay(self, raw: dict[str, Any], rows: tuple[Row, ...], digest: bytes, stood: Mapping[str, Row],
              anew: bool = False) -> Laid:
         """Rows over a file; who has to know is told, and so is the log."""
-        assert config.raw is not None
-        laid, before = overlay(config.raw, rows, stood, self._tuned.fixed), self._confirmations.state
+        laid, before = overlay(raw, rows, stood, self._tuned.fixed), self._confirmations.state
         changed = [row for row in rows if row != before.held.get(row.key)
                    or laid.refused.get(row.key) != before.refused.get(row.key)]
         now = self._loop.time()
@@ -198,7 +197,7 @@
                            rows=[[row.key, row.term, row.number] for row in acted],
                            refused=[[row.key, laid.refused[row.key]] for row in changed
                                     if row.key in laid.refused])
-        _log(config.raw, laid, rows if anew else changed)
+        _log(raw, laid, rows if anew else changed)
         self._arm()
         return laid
 
@@ -237,9 +236,8 @@
             if message.body is None:
                 row = self.table.delete(message.key, self._me.name, message.take_over)
             else:
-                raw = self._tuned.config().raw
-                assert raw is not None
-                check(raw, Row(message.key, 1, 1, self._me.name, message.body), self._tuned.fixed)
+                row = Row(message.key, 1, 1, self._me.name, message.body)
+                check(self._tuned.raw(), row, self._tuned.fixed)
                 row = self.table.put(message.key, message.body, self._me.name, message.take_over)
         except (RowError, RefusedRowError) as error:
             reply(PutDone(self._me.name, str(error)))
@@ -253,8 +251,7 @@
     def _shown(self, key: str) -> ShownRows:
         held = self.table.get(key)
         rows = tuple(self.table) if not key else (held,) if held is not None else ()
-        raw, state = self._tuned.config().raw, self._confirmations.state
-        assert raw is not None
+        raw, state = self._tuned.raw(), self._confirmations.state
 
         def shown(row: Row) -> ShownRow:
             file, acted = file_value(raw, row.key), state.acted.get(row.key)
--- a/pipitshed/scheduler.py
+++ b/pipitshed/scheduler.py
@@ -12,7 +12,7 @@
 
 import uvloop
 
-from pipitshed.config import Config, ConfigError, Front, load
+from pipitshed.config import Config, ConfigError, Front, load, resettled
 from pipitshed.egress.gearman import GearmanCarrier, Place
 from pipitshed.egress.http import HttpCarrier
 from pipitshed.exchange.core import Core
@@ -182,7 +182,9 @@
         zone = config.zones[config.settings.zone] if config.zones else ""
         # Gearman's functions and workers know the classes by the numbers of the start.
         fixed = frozenset(name for name, *_ in front.functions.values()) if front.listen else frozenset()
-        return Fleet(peers, zone, self._loop, Tuned(lambda: self.config, self._retune, fixed))
+        tuned = Tuned(lambda: self.config.raw or {},
+                      lambda settings: self._retune(resettled(self.config, settings)), fixed)
+        return Fleet(peers, zone, self._loop, tuned)
 
     def _hurry(self, config: Config) -> None:
         if self.discovery is not None and config.settings.list_pushed:
@@ -221,8 +223,8 @@
             log.error("the configuration stays as it was: %s", error)
             return
         self.conf_loaded += 1
-        if self.fleet is not None and self.fleet.rows is not None:
-            config = self.fleet.rows.over(config)
+        if self.fleet is not None and self.fleet.rows is not None and config.raw is not None:
+            config = resettled(config, self.fleet.rows.over(config.raw))
         change = self._retune(config)
         log.info("settings read anew: %s; at most %d attempts", change, config.settings.limits.max_attempts)
         if self.discovery is None or config.discovery is None:
--- a/tests/test_settings_fleet.py
+++ b/tests/test_settings_fleet.py
@@ -20,7 +20,7 @@
 from test_peers import peers, until
 
 from pipitshed.cli import main
-from pipitshed.config import Config, load, load_front
+from pipitshed.config import Config, load, load_front, resettled
 from pipitshed.peers import rows as fleet_rows
 from pipitshed.peers import rowsfile
 from pipitshed.peers.codec import Codec
@@ -40,9 +40,18 @@
     fleet: Fleet = field(init=False)
     retuned: list[Config] = field(default_factory=list)
 
-    def retune(self, config: Config) -> None:
-        self.config = config
-        self.retuned.append(config)
+    def raw(self) -> dict[str, Any]:
+        assert self.config.raw is not None
+        return self.config.raw
+
+    def read(self, config: Config) -> None:
+        """A file that is read anew."""
+        assert self.fleet.rows is not None and config.raw is not None
+        self.config = resettled(config, self.fleet.rows.over(config.raw))
+
+    def retune(self, settings: dict[str, Any]) -> None:
+        self.config = resettled(self.config, settings)
+        self.retuned.append(self.config)
 
     @property
     def share(self) -> float:
@@ -70,7 +79,7 @@
         if rows_file:
             object.__setattr__(asked, "rows_file", folder / f"{rows_file}-{place}")
         node.fleet = Fleet(asked, "", loop,
-                           fleet_rows.Tuned(lambda node=node: node.config, node.retune))  # type: ignore[misc]
+                           fleet_rows.Tuned(node.raw, node.retune))
         made.append(node)
         await node.fleet.start()
     await until(lambda: all(len(one.fleet.membership.view.living()) == len(made)
@@ -123,14 +132,14 @@
     renamed = {"tenants": [{"name": "other", "share": 1.0, "allowancePerS": 5.0}]}
     async with nodes(folder, {}, {}) as (one, two):
         assert (await call("put", SHARE, "0.4", "--peer", one.peer)).startswith("0 ")
-        two.config = two.fleet.rows.over(config(folder, **renamed))  # type: ignore[union-attr]
+        two.read(config(folder, **renamed))
         assert two.share == 1.0
         said = await call("put", SHARE, "0.5", "--peer", one.peer)
         assert said.startswith("3 ") and "s1 refuses it: the settings in force have no tenant" in said
         status = json.loads((await call("status", "--json", "--peer", one.peer))[2:])
         assert [row["refused"] for row in status["members"]] == [[], [[SHARE, "the settings in force have no "
                                                                       "tenant 'andes-retail'"]]]
-        two.config = two.fleet.rows.over(config(folder))  # type: ignore[union-attr]
+        two.read(config(folder))
         assert two.share == 0.5
         assert "2 refused by s0: a value is" in await call("put", SHARE, "none", "--peer", one.peer)
 
