A request held up over its deadline gets the dispatcher's answer, not a 500

Cause: at a deadline the attempt's own timeout comes due, and 10 ms later a guard that answers 500 whatever the dispatcher does. Where the loop stood still over both (a busy machine; 40 ms in the trace), both timers are due in one turn. The attempt's timeout only posts its outcome for the dispatcher; the guard answered at once, before it.

Change: the guard waits for the turn in which the deadline's events are handed on, and answers only what has no answer then. What has not run by then, on the attempts' own records, is rejected; all else fails, as before.

Evidence: tests/proxy/test_forwarder.py holds the loop up by 5 to 150 ms over the deadline.

--- a/pipitshed/proxy/request_lifecycle.py
+++ b/pipitshed/proxy/request_lifecycle.py
@@ -18,6 +18,7 @@
 
 RESPONSE_MARGIN_MS = 30.0  # the final answer is out so long before the client gives up
 DEADLINE_GUARD_MS = 10.0  # after the dispatcher's own deadline; still before the client's
+OVERDUE_RETRY_AFTER_MS = 1000.0  # where no attempt ran and the dispatcher has not answered
 
 log = logging.getLogger("pipitshed")
 
@@ -62,7 +63,7 @@
         self._counters[SUBMITTED_COUNTER] += 1
         # Whatever the dispatcher does, the client gets an answer.
         context.deadline_timer = self._loop.call_at(
-            context.deadline_at + DEADLINE_GUARD_MS / 1000, self._overdue, context
+            context.deadline_at + DEADLINE_GUARD_MS / 1000, self._deadline_passed, context
         )
         if self.translator is None or request.form_version is None:
             self._post_submitted(context, remaining_ms)
@@ -186,11 +187,24 @@
             if not attempt.finished and not attempt.fully_sent:
                 self._stop_attempt(attempt, Outcome.CANCELLED)
 
-    def _overdue(self, context: RequestContext) -> None:
-        if self.finish(context.job_id, RequestEnd.OVERDUE):
-            log.warning("request %d had no answer at its deadline", context.job_id)
+    def _deadline_passed(self, context: RequestContext) -> None:
+        """Answer the request a turn later, if the dispatcher does not.
+
+        Where the loop was held up over the deadline, the timers of the attempts and of the dispatcher have
+        fired just now: their events are posted, and the dispatcher takes them before the next callback.
+        """
+        self._loop.call_soon(self._answer_overdue, context)
+
+    def _answer_overdue(self, context: RequestContext) -> None:
+        if context.answered:
+            return
+        log.warning("request %d had no answer at its deadline", context.job_id)
+        if context.may_have_run:
+            self.finish(context.job_id, RequestEnd.OVERDUE)
             context.requester.failed()
-            self._turns.post(JobWithdrawn(context.job_id))
+        else:
+            self.reject(context.job_id, OVERDUE_RETRY_AFTER_MS)
+        self._turns.post(JobWithdrawn(context.job_id))
 
     def finish(self, job_id: int, end: RequestEnd) -> RequestContext | None:
         """End a request; None where it has ended before, so that no second answer goes out."""
--- a/tests/proxy/test_forwarder.py
+++ b/tests/proxy/test_forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import socket
+import time
 from typing import Any
 from unittest.mock import Mock
 
@@ -16,7 +17,15 @@
 from pipitshed.proxy.request import Request, RequestContext
 from pipitshed.proxy.worker_client import Endpoint
 from pipitshed.scheduling.actions import RejectRequest
-from pipitshed.scheduling.events import AttemptFinished, AttemptProgressed, ConnectionLost, Event, UpdateKind
+from pipitshed.scheduling.events import (
+    AttemptFinished,
+    AttemptProgressed,
+    ConnectionLost,
+    Event,
+    ProgressKind,
+    UpdateKind,
+)
+from pipitshed.scheduling.settings import Idempotency
 from pipitshed.upstream.http import HttpWorkerClient
 
 
@@ -128,3 +137,72 @@
         assert broken.rejected.called
 
     asyncio.run(run())
+
+
+class SilentClient:
+    """A worker client whose workers take each attempt and never answer it."""
+
+    def __init__(self) -> None:
+        self.taken: asyncio.Queue[Attempt] = asyncio.Queue()
+
+    def start(self, attempt: Attempt) -> None:
+        self.taken.put_nowait(attempt)
+
+    def abort(self, attempt: Attempt) -> bool:
+        return attempt.fully_sent
+
+
+async def held_up_at_the_deadline(
+    effect: Idempotency, held_up_s: float, translator: Any = None
+) -> tuple[Mock, asyncio.Queue[str]]:
+    """A request in progress at a silent worker, whose deadline passes while the loop stands still."""
+    loop = asyncio.get_running_loop()
+    core = Forwarder(settings(effect), 1, loop)
+    worker_client, client, answers = SilentClient(), Mock(), asyncio.Queue[str]()
+    client.rejected.side_effect = lambda retry_after_ms: answers.put_nowait("rejected")
+    client.failed.side_effect = lambda: answers.put_nowait("failed")
+    [entry] = entries(1)
+    core.endpoints.update("test", UpdateKind.DELTA, 1, [(entry, Endpoint(entry.worker, worker_client, None))])  # type: ignore[arg-type]
+    if translator is not None:
+        core.attach_translator(translator)
+    context = core.submit(Request("a1", 0, 130.0, 0, form_version=1), client)
+    if translator is None:
+        attempt = await worker_client.taken.get()
+        core.attempt_sent(attempt)
+        core.attempt_progressed(attempt, ProgressKind.STARTED)
+        await asyncio.sleep(0)  # the dispatcher has been told
+    time.sleep(context.deadline_at - time.monotonic() + held_up_s)  # noqa: ASYNC251
+    return client, answers
+
+
+@pytest.mark.parametrize("held_up_s", [0.005, 0.015, 0.04, 0.15])
+@pytest.mark.parametrize(
+    ("effect", "answer"),
+    [(Idempotency.IDEMPOTENT, "rejected"), (Idempotency.NON_IDEMPOTENT, "failed")],
+)
+def test_a_loop_held_up_over_a_deadline_answers_as_the_dispatcher_would(
+    effect: Idempotency, answer: str, held_up_s: float
+) -> None:
+    """Guards against a 500 for a job that its client may repeat: both deadlines were due in one turn, and the
+    guard's came before the dispatcher's answer."""
+
+    async def run() -> None:
+        client, answers = await held_up_at_the_deadline(effect, held_up_s)
+        assert await asyncio.wait_for(answers.get(), 5) == answer
+        await asyncio.sleep(0.05)  # an answer too many would come within the guard's time
+        assert client.rejected.call_count + client.failed.call_count == 1
+
+    asyncio.run(run())
+
+
+def test_a_request_that_never_reached_the_dispatcher_is_rejected_at_its_deadline() -> None:
+    """Guards against a 500 for a job that never ran: an exception ended its translation."""
+
+    translator = Mock(prepare=Mock(side_effect=RuntimeError("planted")))
+
+    async def run() -> None:
+        client, answers = await held_up_at_the_deadline(Idempotency.NON_IDEMPOTENT, 0.04, translator)
+        assert await asyncio.wait_for(answers.get(), 5) == "rejected"
+        assert client.failed.call_count == 0
+
+    asyncio.run(run())
