A connection in use is told of its close at the end of the program

What callers saw: after SIGTERM kept connections are served for 2 s, and then idle ones were closed without a word, also those whose client was between two requests. The next request crossed the close and had no answer on that connection; by the protocol's page the client sends it once more elsewhere, which costs it a round trip, or a failure where it does not.

Cause: from 2 s on each response says Connection: close, but 20 ms later all idle connections were closed: only a client that paused for less than 20 ms was ever told.

Change: a connection that had a request or a response within the last 0.5 s (less where deadlines are short) is kept until it was idle for so long, so that its next response says close. All others are closed at 2 s as before. A request can still cross the close of a connection that rested for longer; it was not read then, and the page tells its client to repeat it.

Evidence: test_a_connection_in_use_at_the_end_is_told_of_its_close, 3 of 3 failed before, passes now.

--- a/pipitshed/frontends/http/connection.py
+++ b/pipitshed/frontends/http/connection.py
@@ -67,6 +67,7 @@
         self._message_bytes = 0  # of an incomplete request
         self._is_receiving = False
         self.last_received_at = 0.0  # loop time
+        self.last_responded_at = 0.0  # loop time
         self._timer: asyncio.TimerHandle | None = None  # until the request must be complete
         self._open_id = ""  # of the request in progress
         # What is to be answered next, in order: a request, or the status of a response without one.
@@ -86,6 +87,10 @@
         """Whether no response is outstanding and no request has begun to arrive."""
         return self._request_context is None and not self._queue and not self._is_receiving
 
+    def idle_since(self) -> float:
+        """The loop time of the last input or response."""
+        return max(self.last_received_at, self.last_responded_at)
+
     # ---- asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/pipitshed/frontends/http/frontend.py
+++ b/pipitshed/frontends/http/frontend.py
@@ -95,18 +95,19 @@
 
     def used(self, connection: HttpConnection) -> None:
         """A connection has just carried a response."""
+        connection.last_responded_at = self.loop.time()
         if self.connections.pop(connection, 0) is None:
             self.connections[connection] = None
 
-    def close_idle(self) -> None:
-        """Close idle connections, and those whose incomplete request has stalled.
+    def close_idle(self, idle_for_s: float) -> None:
+        """Close connections that have been idle for so long, and those whose incomplete request has stalled.
 
         While the program stops, a client that stalled half way through a request would delay the exit until
         SIGKILL.
         """
         now = self.loop.time()
         for connection in list(self.connections):
-            if connection.is_idle:
+            if connection.is_idle and now - connection.idle_since() >= idle_for_s:
                 connection.close()
             elif connection.is_receiving and now - connection.last_received_at >= STALLED_AFTER_S:
                 connection.time_out()
--- a/pipitshed/server/server.py
+++ b/pipitshed/server/server.py
@@ -32,6 +32,8 @@
 LONGEST_DEADLINE_MAX_S = 3.0  # that the longest deadline counts at most for that
 ANSWER_BEFORE_KILL_S = 0.3  # by which all that came after LISTEN_S is answered before SIGKILL
 SERVE_CONNECTIONS_FRACTION = 0.6  # of the time until then, for which connections are served on at most
+ANNOUNCE_CLOSE_S = 0.5  # for which a connection in use is kept, so that its next response announces its close
+ANNOUNCE_CLOSE_FRACTION = 0.2  # of the time until all is answered, for which it is kept at most
 END_MARGIN_S = 1.0  # beyond the longest deadline, after which no answer can be outstanding
 IDLE_POLL_S = 0.02  # between checks whether all is answered
 
@@ -151,14 +153,15 @@
         self.parts.forwarder.set_answer_deadline(answer_deadline_at)
 
     def _close_connections(self) -> None:
-        """Close each connection with its next answer."""
+        """Close each connection with its next answer, and those that are not in use at once."""
         self.parts.http_frontend.draining = True
         self.parts.http_frontend.linger = LINGER_ENDING
         # A little later, what stood in the listeners' queues has its connection.
         self._loop.call_later(IDLE_POLL_S, self._end_when_idle)
 
     def _end_when_idle(self) -> None:
-        self.parts.http_frontend.close_idle()
+        announce_s = min(ANNOUNCE_CLOSE_S, ANNOUNCE_CLOSE_FRACTION * self._answer_within_s())
+        self.parts.http_frontend.close_idle(announce_s)
         # A client that never ends the request it has begun must not keep the program from its end.
         if self._busy() and self._loop.time() < self._end_by:
             self._loop.call_later(IDLE_POLL_S, self._end_when_idle)
--- a/tests/server/test_upgrade.py
+++ b/tests/server/test_upgrade.py
@@ -68,6 +68,25 @@
     held.close()
 
 
+@story
+async def test_a_connection_in_use_at_the_end_is_told_of_its_close() -> None:
+    """Guards against a close without notice between two requests of a client that asks again and again: the
+    next one crossed it, and the client had to send it once more elsewhere."""
+    async with Planner("p1") as planner, program(planner) as running:
+        client = await HttpClient.to(running.port)
+        running.process.send_signal(signal.SIGTERM)
+        headers: dict[str, str] = {}
+        count = 0
+        while headers.get("connection") != "close":
+            count += 1
+            client.ask(f"n{count}")
+            status, headers, _ = await client.answer()
+            assert status == 200
+            await asyncio.sleep(0.12)  # the client's own pace
+        assert await client.reader.read() == b""
+        assert await running.process.wait() == 0
+
+
 @story
 async def test_without_a_passed_socket_the_program_binds_its_address() -> None:
     async with Planner("p1") as planner, program(planner, mgmt=True) as running:
