A Gearman worker's other jobs outlive one that is given up

What callers saw: a booking answered WORK_FAIL or 500 though its worker was doing it, and in a class that forbids a second run it stays failed.

Cause: an assigned Gearman job can't be cancelled, so an attempt that times out, is cancelled, or whose client has left closed its worker's connection at once, and with it all other jobs that the worker was running: each ended as a reset.

Change: such a worker is retired. It is listed as draining, gets no further job, what waits for it is given back, and its connection is closed when its last running job has ended, at once where there is no other. Why it works: every running attempt has a deadline of its own, so the close comes in finite time, and the attempt that was given up has its one outcome as before.

--- a/pipitshed/upstream/gearman.py
+++ b/pipitshed/upstream/gearman.py
@@ -77,6 +77,7 @@
         self.running: dict[bytes, Attempt] = {}  # by handle
         self.is_listed = False
         self.is_removed = False
+        self._is_retiring = False  # it gets no more jobs, and is closed once it runs none
         self._partial_results: dict[bytes, bytes] = {}  # WORK_DATA so far, by handle
         self._is_asleep = False
 
@@ -86,8 +87,9 @@
             timeout_s = arguments[1] if kind is Kind.CAN_DO_TIMEOUT else b"0"
             if not timeout_s.isdigit():
                 raise PacketError("CAN_DO_TIMEOUT needs whole seconds")
-            self.abilities[_text(arguments[0])] = float(timeout_s)
-            self.client.list_worker(self)
+            if not self._is_retiring:
+                self.abilities[_text(arguments[0])] = float(timeout_s)
+                self.client.list_worker(self)
         elif kind is Kind.CANT_DO:
             self.abilities.pop(_text(arguments[0]), None)
             self.client.list_worker(self)
@@ -165,6 +167,8 @@
             return
         # After WORK_EXCEPTION a WORK_FAIL may follow: the job is over by then, and it is ignored.
         del self.running[handle]
+        if self._is_retiring:
+            self._close_if_idle()
         result = self._partial_results.pop(handle, b"")
         if kind is Kind.WORK_COMPLETE:
             core.attempt_finished(attempt, Outcome.OK, result + arguments[1])
@@ -172,6 +176,24 @@
             error = arguments[1] if kind is Kind.WORK_EXCEPTION else b""
             core.attempt_finished(attempt, Outcome.ERROR, error)
 
+    def stop(self, handle: bytes) -> None:
+        """Give up an assigned job, which the protocol has no way to cancel.
+
+        The connection is closed, so that the worker can notice. Its other jobs are finished first: they may
+        belong to clients whose class forbids a second run.
+        """
+        del self.running[handle]
+        self._partial_results.pop(handle, None)
+        self._is_retiring = True
+        if self.running:
+            self.abilities.clear()
+            self.client.list_worker(self)
+        self._close_if_idle()
+
+    def _close_if_idle(self) -> None:
+        if not self.running:
+            self.connection.abort()
+
     def lost(self) -> None:
         """The connection is closed: assigned attempts may have run, waiting ones have not."""
         if self.is_removed:
@@ -298,15 +320,14 @@
     def abort(self, attempt: Attempt) -> bool:
         """Stop an attempt for good; whether it may have run.
 
-        The protocol has no way to cancel an assigned job. The worker's connection is closed instead, so that
-        no second attempt runs beside the first.
+        An assigned job can't be cancelled: the worker gets no further one, and its connection is closed.
         """
         worker: GearmanWorker = attempt.endpoint.address
         if attempt in worker.waiting:
             worker.waiting.remove(attempt)
             return False
-        if worker.running.pop(attempt.transport_state, None) is not None:
-            worker.connection.abort()
+        if attempt.transport_state in worker.running:
+            worker.stop(attempt.transport_state)
             return True
         return False
 
--- a/tests/frontends/test_gearman_frontend.py
+++ b/tests/frontends/test_gearman_frontend.py
@@ -149,6 +149,30 @@
     run()
 
 
+@story
+async def test_a_stalled_job_does_not_take_the_worker_s_other_jobs_with_it() -> None:
+    """Guards against a booking that fails as its worker's connection is closed over another client's job."""
+    patience = FRONT.replace(
+        'plan_quote = { class = "quote"', 'plan_quote = { patience-s = 0.3, class = "quote"'
+    )
+    async with program(front=patience, settings=ONCE) as running:
+        worker, impatient, client = [await GearmanPeer.to(running.gearman_port) for _ in range(3)]
+        await worker.register(b"plan_quote", b"book_pallet")
+        await impatient.submit(b"plan_quote", b"q1", b"six")
+        await worker.grab()
+        worker.say(Kind.PRE_SLEEP)
+        handle = await client.submit(b"book_pallet", b"b1", b"four")
+        attempt, _, _ = await worker.grab()
+        assert [(await impatient.hear())[0] for _ in range(2)] == [Kind.WORK_WARNING, Kind.WORK_FAIL]
+        assert await unwoken(worker)
+        worker.say(Kind.CAN_DO, b"plan_quote")  # it gets nothing new all the same
+        worker.say(Kind.GRAB_JOB)
+        await worker.expect(Kind.NO_JOB)
+        worker.say(Kind.WORK_COMPLETE, attempt, b"booked")
+        assert await client.expect(Kind.WORK_COMPLETE) == [handle, b"booked"]
+        assert await worker.reader.read() == b""
+
+
 @story
 async def test_a_worker_has_as_long_as_it_said() -> None:
     """CAN_DO_TIMEOUT ends the attempt long before the class's deadline, and its worker's connection too."""
