A job whose worker left before it ran is drawn again, not rejected

What callers saw: 503 (or WORK_WARNING and WORK_FAIL) for a booking beside a free worker.

Equation 2 counts draws that may find no capacity. A worker that leaves or drains before the job runs there is no such draw. The same holds for any interface: an attempt that waits for its connection as its worker starts to drain ends as CONNECT_FAILED, one whose ability is withdrawn as REJECTED, one whose endpoint is gone as SUPERSEDED.

Change: where an attempt did not run and its worker is no longer listed as taking the job's class, the job gets a further attempt, as it does after an error or a reset; never more than max_attempts. f counts such attempts as before.

Evidence: test_a_job_whose_worker_left_before_it_ran_is_drawn_again, 27 cases, all failed before, all pass.

--- a/pipitshed/scheduling/attempt_watchdog.py
+++ b/pipitshed/scheduling/attempt_watchdog.py
@@ -51,9 +51,8 @@
     """What to do when the start timeout of all attempts in flight has passed."""
     if limits.parallel_attempts:
         return StartOverdueAction.ADD_ATTEMPT  # the places in the workers' queues are kept
-    if job.job_class.idempotency is not Idempotency.NON_IDEMPOTENT and len(job.attempts) < allowed_attempts(
-        job, limits.max_attempts, window, now_ms
-    ):
+    allowed = allowed_attempts(job, limits.max_attempts, window, now_ms) + job.departed_worker_count
+    if job.job_class.idempotency is not Idempotency.NON_IDEMPOTENT and len(job.attempts) < allowed:
         return StartOverdueAction.REPLACE_ATTEMPTS
     return StartOverdueAction.KEEP_WAITING
 
--- a/pipitshed/scheduling/dispatcher.py
+++ b/pipitshed/scheduling/dispatcher.py
@@ -373,6 +373,8 @@
     def _record_outcome(self, job: Job, attempt: Attempt, event: AttemptFinished) -> None:
         """Learn from the outcome what it says of capacity and of the worker."""
         worker = attempt.worker
+        if attempt.not_executed and not self.endpoints.takes_class(worker, job.class_index):
+            job.departed_worker_count += 1  # it says nothing of how hard capacity is to find
         if event.outcome in (Outcome.REJECTED, Outcome.CONNECT_FAILED):
             if not attempt.capacity_recorded or not self.settings.workers_report_start:
                 self._record_no_capacity(worker, event.outcome is Outcome.REJECTED)
--- a/pipitshed/scheduling/endpoint_list.py
+++ b/pipitshed/scheduling/endpoint_list.py
@@ -108,6 +108,11 @@
             self.planned_workers.discard(worker.id)
         self.pools.change(worker)
 
+    @staticmethod
+    def takes_class(worker: Worker, class_index: int) -> bool:
+        """Whether the worker is listed as ready to take jobs of this class."""
+        return worker.ready and (worker.job_classes is None or class_index in worker.job_classes)
+
     def _weights(self, worker: Worker, key: PoolKey) -> tuple[float, ...] | None:
         """A worker's weights for the jobs of a class; None where it can't be drawn for them.
 
@@ -115,8 +120,7 @@
         """
         class_index, interfaces = key
         if (
-            not worker.ready
-            or (worker.job_classes is not None and class_index not in worker.job_classes)
+            not self.takes_class(worker, class_index)
             or (interfaces is not None and worker.interface not in interfaces)
             or (self.settings.classes[class_index].worker_kind not in (None, worker.kind))
         ):
--- a/pipitshed/scheduling/job_state.py
+++ b/pipitshed/scheduling/job_state.py
@@ -59,6 +59,7 @@
         "no_capacity_count",
         "reset_count",
         "error_count",
+        "departed_worker_count",
         "min_allowed_attempts",
         "allowed_failure_probability",
     )
@@ -81,6 +82,7 @@
         self.no_capacity_count = 0  # attempts that found no capacity
         self.reset_count = 0  # attempts whose connection broke
         self.error_count = 0  # attempts that ended in an error
+        self.departed_worker_count = 0  # attempts that never ran, as their worker had left or was draining
         self.min_allowed_attempts = 0  # in all, guaranteed by a replaced attempt
         self.allowed_failure_probability = 1.0
 
--- a/pipitshed/scheduling/retry_policy.py
+++ b/pipitshed/scheduling/retry_policy.py
@@ -122,7 +122,7 @@
         allowed = limits.max_attempts
     else:
         by_estimate = allowed_attempts(job, limits.max_attempts, window, now_ms)
-        allowed = max(by_estimate, 1 + job.error_count) + job.reset_count
+        allowed = max(by_estimate, 1 + job.error_count) + job.reset_count + job.departed_worker_count
     if len(job.attempts) >= max(job.min_allowed_attempts, allowed):
         return AnswerReason.ATTEMPTS_EXHAUSTED
     if not options.may_attempt:
--- a/tests/scheduling/test_dispatcher_rules.py
+++ b/tests/scheduling/test_dispatcher_rules.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from dataclasses import replace
+from typing import Any
 
 import pytest
 from helpers import Bench, entries, sends_of, settings, worker_id
@@ -240,6 +241,31 @@
     )
 
 
+@pytest.mark.parametrize("outcome", [Outcome.CONNECT_FAILED, Outcome.REJECTED, Outcome.SUPERSEDED])
+@pytest.mark.parametrize(
+    "effect", [Idempotency.IDEMPOTENT, Idempotency.IDEMPOTENT_WITH_KEY, Idempotency.NON_IDEMPOTENT]
+)
+@pytest.mark.parametrize(
+    "change",
+    [{"state": EndpointState.REMOVED}, {"state": EndpointState.DRAINING}, {"job_classes": frozenset()}],
+)
+def test_a_job_whose_worker_left_before_it_ran_is_drawn_again(
+    change: dict[str, Any], effect: Idempotency, outcome: Outcome
+) -> None:
+    """Guards against a rejection beside free workers: with f at zero a job has one attempt, and one that a
+    departing worker never took used it up."""
+    bench = Bench(settings(effect, zone_count=1), entries(2))
+    serve(bench, WINDOW_ATTEMPT_COUNT)
+    [send] = sends_of(bench.feed(JobSubmitted(100, 4000.0)))
+    [entry] = [entry for entry in entries(2) if entry.worker == send.worker]
+    bench.feed(EndpointsUpdated(UpdateKind.DELTA, 2, (replace(entry, **change),)))
+    bench.finish(send, 0, outcome)
+    [again] = sends_of(bench.run(bench.now + 500.0))
+    assert again.worker != send.worker
+    bench.finish(again, 1, Outcome.CONNECT_FAILED)  # that one is listed: it counts
+    assert not sends_of(bench.run(bench.now + 500.0)) and not bench.checker.faults
+
+
 def test_a_keyed_job_that_broke_off_is_not_given_up_for_lack_of_room() -> None:
     """The failure met: reset, turned away once, then failed, as f near 0 allowed two attempts in all; its
     client must not ask again, so it was lost. One that never ran is refused as before."""
