An ejection for errors is not ended by a start, nor cut short by a rejection

What callers saw: jobs sent back too soon to a worker that fails them, and 500 for those that must not run twice.

Cause: one time stood for both kinds of ejection. A job that started there, for example one that was out when the first failed, set it to zero, though a worker that fails jobs starts them all the same. A rejection or a failed connection replaced it by its own, 150 to 450 ms at first, where the first for an error is 300 to 900 ms.

Change: the two have a time each, and a worker is passed over while either lasts. A start or a served job ends that for lack of capacity alone; a new process of the worker ends both.

Evidence: test_an_ejection_for_an_error_is_not_ended_by_a_start_or_a_rejection, 2 cases, failed before, pass; tests/scheduling and tests/equivalence pass.

--- a/pipitshed/scheduling/dispatcher.py
+++ b/pipitshed/scheduling/dispatcher.py
@@ -300,7 +300,7 @@
 
     def _record_capacity(self, worker: Worker, late: bool = False) -> None:
         self.window.add(self.now_ms, late)
-        outlier_ejection.readmit(worker)
+        outlier_ejection.end_capacity_ejection(worker)
 
     def _on_attempt_progressed(self, event: AttemptProgressed) -> None:
         found = self._find_attempt(event.job_id, event.attempt_index)
--- a/pipitshed/scheduling/outlier_ejection.py
+++ b/pipitshed/scheduling/outlier_ejection.py
@@ -19,7 +19,7 @@
 
 def is_ejected(worker: Worker, now_ms: float) -> bool:
     """Whether the worker is passed over at present."""
-    return worker.ejected_until_ms > now_ms
+    return max(worker.ejected_until_ms, worker.error_ejected_until_ms) > now_ms
 
 
 def is_slow(worker: Worker, mean_ms_per_work_unit: float, now_ms: float) -> bool:
@@ -33,7 +33,7 @@
 def eject_for_no_capacity(worker: Worker, now_ms: float, rng: random.Random) -> None:
     """Eject a worker that rejected a job, or did not start it in time.
 
-    The newest such attempt decides, so this may also end a longer ejection sooner.
+    The newest such attempt decides, so this may also end a longer ejection for no capacity sooner.
     """
     worker.ejected_until_ms = now_ms + EJECTION_MS * 2**worker.consecutive_rejections * rng.uniform(0.5, 1.5)
     worker.consecutive_rejections = min(worker.consecutive_rejections + 1, MAX_EJECTION_DOUBLINGS)
@@ -47,7 +47,7 @@
     worker.error_count = min(worker.error_count + 1, 2 * MAX_EJECTION_DOUBLINGS)
     doublings = min(worker.error_count, MAX_EJECTION_DOUBLINGS)
     ejection_ms = EJECTION_MS * 2**doublings * (0.5 + job_id * GOLDEN_RATIO_FRACTION % 1.0)
-    worker.ejected_until_ms = max(worker.ejected_until_ms, now_ms + ejection_ms)
+    worker.error_ejected_until_ms = max(worker.error_ejected_until_ms, now_ms + ejection_ms)
 
 
 def eject_until(worker: Worker, until_ms: float) -> None:
@@ -55,12 +55,18 @@
     worker.ejected_until_ms = max(worker.ejected_until_ms, until_ms)
 
 
-def readmit(worker: Worker) -> None:
-    """End the ejection, for whatever cause: the worker had capacity, or its process is a new one."""
+def end_capacity_ejection(worker: Worker) -> None:
+    """End the ejection of a worker that had capacity; one that fails jobs starts them all the same."""
     worker.consecutive_rejections = 0
     worker.ejected_until_ms = 0.0
 
 
+def readmit(worker: Worker) -> None:
+    """End the ejection, for whatever cause: the worker's process is a new one."""
+    end_capacity_ejection(worker)
+    worker.error_ejected_until_ms = 0.0
+
+
 def forgive_error(worker: Worker) -> None:
     """Let a served job make up for one error; a worker that fails every second job stays known for it."""
     worker.error_count = max(0, worker.error_count - 1)
--- a/pipitshed/scheduling/worker_selection.py
+++ b/pipitshed/scheduling/worker_selection.py
@@ -112,7 +112,7 @@
 
     def _is_in_doubt(self, worker: Worker, job: Job, now_ms: float) -> bool:
         """Whether the worker is passed over in this draw."""
-        if worker.ejected_until_ms > now_ms:
+        if is_ejected(worker, now_ms):
             return True
         mean_ms = self._statistics.ms_per_work_unit
         if is_slow(worker, mean_ms, now_ms) and self._rng.random() > mean_ms / worker.ms_per_work_unit:
--- a/pipitshed/scheduling/worker_state.py
+++ b/pipitshed/scheduling/worker_state.py
@@ -25,6 +25,7 @@
         "unstarted_count",
         "reserved_slots",
         "ejected_until_ms",
+        "error_ejected_until_ms",
         "consecutive_rejections",
         "error_count",
         "ms_per_work_unit",
@@ -47,7 +48,8 @@
         self.in_flight_count = 0  # own attempts there
         self.unstarted_count = 0  # own attempts there that have not started
         self.reserved_slots = 0.0  # taken by own jobs that started, by all where no starts are reported
-        self.ejected_until_ms = 0.0
+        self.ejected_until_ms = 0.0  # as it had no capacity, or asked for the pause
+        self.error_ejected_until_ms = 0.0  # as it failed jobs
         self.consecutive_rejections = 0
         self.error_count = 0  # goes up with each error and down with each job served
         self.ms_per_work_unit = 0.0  # 0 while unknown
--- a/tests/scheduling/test_dispatcher_rules.py
+++ b/tests/scheduling/test_dispatcher_rules.py
@@ -9,7 +9,7 @@
 import pytest
 from helpers import Bench, entries, sends_of, settings, worker_id
 
-from pipitshed.scheduling import attempt_watchdog, retry_policy
+from pipitshed.scheduling import attempt_watchdog, outlier_ejection, retry_policy
 from pipitshed.scheduling.actions import (
     CancelAttempt,
     FailRequest,
@@ -749,6 +749,31 @@
     assert bench.checker.faults == []
 
 
+def ejected_for_an_error(bench: Bench) -> tuple[StartAttempt, StartAttempt]:
+    """Two jobs at the only worker, the first of which has failed there; both sends."""
+    first, second = [sends_of(bench.feed(JobSubmitted(job, 4000.0)))[0] for job in (3, 4)]
+    bench.finish(first, 0, Outcome.ERROR, answered=True)
+    return first, second
+
+
+@pytest.mark.parametrize("effect", [Idempotency.IDEMPOTENT, Idempotency.NON_IDEMPOTENT])
+def test_an_ejection_for_an_error_is_not_ended_by_a_start_or_a_rejection(effect: Idempotency) -> None:
+    """Guards against jobs sent back too soon to a worker that fails them: another job's start there ended the
+    ejection, and another job's rejection replaced it by a shorter one."""
+    started = Bench(settings(effect, zone_count=1, workers_report_start=True), entries(1))
+    rejected = Bench(settings(effect, zone_count=1, workers_report_start=True), entries(1))
+    [worker], [other] = [list(bench.dispatcher.workers.values()) for bench in (started, rejected)]
+    _, second = ejected_for_an_error(started)
+    started.feed(AttemptProgressed(4, 0, second.worker, ProgressKind.STARTED))
+    _, second = ejected_for_an_error(rejected)
+    rejected.finish(second, 0, Outcome.REJECTED)
+    longest_for_a_rejection_ms = 1.5 * outlier_ejection.EJECTION_MS
+    for bench, one in ((started, worker), (rejected, other)):
+        assert outlier_ejection.is_ejected(one, bench.now + longest_for_a_rejection_ms)
+    started.feed(EndpointsUpdated(UpdateKind.DELTA, 2, (replace(entries(1)[0], started_at_ms=started.now),)))
+    assert not outlier_ejection.is_ejected(worker, started.now)  # another process has not failed any
+
+
 def test_a_worker_that_fails_jobs_fast_is_the_last_resort_where_all_others_hold_jobs() -> None:
     """The failure met: with all draws doubted, the least held was taken, which is the one that ends each job
     at once by an error; it drew 14 of 127 jobs in a fleet of ten, and each was lost."""
