A tenant keeps its number over reloads, at both fronts

What callers saw: after a SIGHUP whose file lists tenants in another order, a tenant's jobs were shed for another's excess. For about two seconds at the HTTP front, whose counts decay; for good at the Gearman front, found on the way: its functions kept their tenant's place in the first file. A Gearman function without a tenant became the first tenant that a reload added.

Cause: a tenant's number was its place in the file in force, while counts and functions kept the place of an earlier file.

Change: config/tenant_registry.py numbers tenants as class_registry.py does classes: a name keeps its number, a new one gets the next, one that a file drops keeps its place without share or quota. The file's tenants reach the decisions by these numbers, and both fronts map names to them. Why it works: whatever holds a number (counts, functions, jobs on their way) means the same name.

Evidence: test_tenants_in_another_order_keep_their_counts_at_both_fronts failed before (the trace's tenants), passes; a property over drawn files.

--- a/pipitshed/frontends/gearman/frontend.py
+++ b/pipitshed/frontends/gearman/frontend.py
@@ -5,7 +5,7 @@
 import asyncio
 import hashlib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pipitshed.frontends.gearman.connection import GearmanConnection
 from pipitshed.frontends.gearman.job import GearmanJob
@@ -14,6 +14,7 @@
 from pipitshed.proxy.deduplication import DeduplicationTable
 from pipitshed.proxy.forwarder import Forwarder
 from pipitshed.proxy.request import Request
+from pipitshed.scheduling.settings import TenantNumbers
 from pipitshed.upstream.gearman import GearmanWorkerClient
 
 _UNIQUE_ID_IS_DATA = b"-"  # as a unique id: the job's data stands for it
@@ -56,6 +57,13 @@
         self._label = label.encode("latin-1", "replace")  # so that handles differ between starts
         self._handle_count = 0
 
+    def apply_tenants(self, tenants: TenantNumbers) -> None:
+        """Count the functions' jobs by these tenants' numbers from now on."""
+        self.functions = {
+            name: replace(function, tenant=tenants.number(function.tenant_name))
+            for name, function in self.functions.items()
+        }
+
     # ---- connections
 
     def connection(self) -> GearmanConnection:
--- a/pipitshed/frontends/http/request_parser.py
+++ b/pipitshed/frontends/http/request_parser.py
@@ -11,6 +11,7 @@
 
 from pipitshed.proxy.forwarder import Forwarder
 from pipitshed.proxy.request import Request
+from pipitshed.scheduling.settings import TenantNumbers
 
 MAX_ID_CHARS = 256  # of a request's id or its idempotency key
 
@@ -90,17 +91,18 @@
         self,
         core: Forwarder,
         classes: Sequence[str],
-        tenants: Sequence[str],
+        tenants: TenantNumbers,
         forms: ClientForms | None = None,
     ) -> None:
         self._core = core
         self._forms = forms
         self.apply_settings({name: index for index, name in enumerate(classes)}, tenants)
 
-    def apply_settings(self, classes: dict[str, int], tenants: Sequence[str]) -> None:
+    def apply_settings(self, classes: dict[str, int], tenants: TenantNumbers) -> None:
         """Replace the numbers of the classes that are accepted, and the tenants."""
         self._classes = {name.encode(): number for name, number in classes.items()}
-        self._tenants = {name.encode(): index for index, name in enumerate(tenants)}
+        self._tenants = {name.encode(): number for name, number in tenants.by_name.items()}
+        self._unknown_tenant = tenants.unknown
 
     def request(self, verb: bytes, resource: bytes, head: dict[bytes, bytes], body: bytes) -> Request:
         """The request; MalformedError if it can't be accepted."""
@@ -126,7 +128,7 @@
             job_class,
             timeout_ms,
             # All tenants that the settings do not name share the number behind the others, without a quota.
-            self._tenants.get(head.get(b"x-tenant", b""), len(self._tenants)),
+            self._tenants.get(head.get(b"x-tenant", b""), self._unknown_tenant),
             body,
             key.decode("latin-1"),
             _affinity_key(head.get(b"cookie", b"")),
--- a/pipitshed/scheduling/admission.py
+++ b/pipitshed/scheduling/admission.py
@@ -52,11 +52,7 @@
         self.apply_settings(settings)
 
     def apply_settings(self, settings: Settings) -> None:
-        """Decide by these settings from now on.
-
-        The tenants' counts are kept by position: where a file lists tenants in another order, the counts are
-        mixed up until they have decayed, in about two seconds.
-        """
+        """Decide by these settings from now on; a tenant keeps its count, which stands at its number."""
         self._settings = settings
         new_counts = (DecayingCount(TENANT_TRAFFIC_TIME_CONSTANT_MS) for _ in settings.tenants)
         self.tenant_counts = [*self.tenant_counts, *new_counts][: len(settings.tenants)]
--- a/pipitshed/scheduling/settings.py
+++ b/pipitshed/scheduling/settings.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 
@@ -59,6 +60,18 @@
     quota_per_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class TenantNumbers:
+    """The numbers by which the dispatcher knows tenants."""
+
+    by_name: Mapping[str, int]
+    unknown: int  # of all tenants that the settings don't name: they have no quota
+
+    def number(self, name: str) -> int:
+        """The number of the tenant of this name."""
+        return self.by_name.get(name, self.unknown)
+
+
 @dataclass(frozen=True, slots=True)
 class Costs:
     """What is taken off the result, in parts of the worth asked for."""
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -14,6 +14,7 @@
 from pipitshed.admin.frontend import AdminFrontend
 from pipitshed.config.front import FrontConfig
 from pipitshed.config.platform import Config
+from pipitshed.config.tenant_registry import TenantRegistry
 from pipitshed.discovery.catalog import SOURCE as CATALOG_SOURCE
 from pipitshed.discovery.catalog import (
     CatalogClient,
@@ -63,6 +64,7 @@
     zones: NameIndex
     kinds: NameIndex
     classes: list[str]  # of all class numbers
+    tenants: TenantRegistry
 
 
 @dataclass(slots=True)
@@ -110,7 +112,8 @@
     loop: asyncio.AbstractEventLoop,
 ) -> Parts:
     """Build all parts but the cluster node, and listen; discovery begins with the list that is cached."""
-    names = Names(NameIndex(config.zones), NameIndex(config.kinds), class_names)
+    tenants = TenantRegistry.first(config.tenants)
+    names = Names(NameIndex(config.zones), NameIndex(config.kinds), class_names, tenants)
     descriptors = DescriptorBudget(config.sockets)
     forwarder = Forwarder(config.settings, config.seed, loop, open_decision_log(config))
     http_workers = HttpWorkerClient(forwarder, config.fields, loop, descriptors.left_for_workers)
@@ -126,7 +129,7 @@
     translator = translation.translator if translation is not None else None
     http_frontend = HttpFrontend(
         forwarder,
-        RequestParser(forwarder, config.classes, config.tenants, translator),
+        RequestParser(forwarder, config.classes, tenants.accepted(), translator),
         descriptors.http_client_count,
         loop,
         server.ready,
@@ -297,16 +300,16 @@
     from pipitshed.frontends.gearman import GearmanFunction
 
     translator = parts.translation.translator if parts.translation is not None else None
+    tenants = parts.names.tenants.accepted()
     functions = {}
     for name, function in front.functions.items():
         job_class = config.classes.index(function.job_class)
-        tenant = function.tenant
-        tenant_number = config.tenants.index(tenant) if tenant in config.tenants else len(config.tenants)
+        tenant_number = tenants.number(function.tenant)
         form = function.form_version
         if translator is not None and form is None:
             form = translator.clients.gearman
         timeout_ms = min(function.client_timeout_ms, config.settings.classes[job_class].deadline_ms)
-        functions[name] = GearmanFunction(job_class, tenant_number, timeout_ms, tenant, form)
+        functions[name] = GearmanFunction(job_class, tenant_number, timeout_ms, function.tenant, form)
     return functions
 
 
--- a/pipitshed/server/reload.py
+++ b/pipitshed/server/reload.py
@@ -94,10 +94,15 @@
         names.classes[:] = self.classes.names
         if parts.placement_plan is not None and has_new_numbers:
             parts.placement_plan.apply_weights()
-        settings = replace(settings, classes=self.classes.classes, own_zone=own_zone)
+        registry = names.tenants.updated(config.tenants)
+        parts.names = replace(names, tenants=registry)
+        tenants = registry.by_number(settings.tenants)
+        settings = replace(settings, classes=self.classes.classes, tenants=tenants, own_zone=own_zone)
         parts.forwarder.apply_settings(settings)
         parts.http_workers.apply_settings(settings.limits, config.fields)
-        parts.http_frontend.parser.apply_settings(self.classes.accepted_at(now), config.tenants)
+        parts.http_frontend.parser.apply_settings(self.classes.accepted_at(now), registry.accepted())
+        if parts.gearman_frontend is not None:
+            parts.gearman_frontend.apply_tenants(registry.accepted())
         if self.classes.leaving:
             self._loop.call_later(DROPPED_CLASS_GRACE_S, self._drop_expired_classes)
         self.config = config
@@ -115,7 +120,7 @@
         """Accept classes that a file dropped no more, once their grace is over."""
         now = self._loop.time()
         accepted = self.classes.accepted_at(now)
-        self._parts.http_frontend.parser.apply_settings(accepted, self.config.tenants)
+        self._parts.http_frontend.parser.apply_settings(accepted, self._parts.names.tenants.accepted())
         # uvloop's timers may fire a little early: the grace is then not over yet.
         if pending := [entry.until for entry in self.classes.leaving.values() if entry.until > now]:
             self._loop.call_later(min(pending) - now + TIMER_MARGIN_S, self._drop_expired_classes)
--- a/tests/server/test_reload.py
+++ b/tests/server/test_reload.py
@@ -4,20 +4,24 @@
 import asyncio
 import copy
 import json
+import tempfile
 from pathlib import Path
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from loopback import SETTINGS, Catalog, HttpClient, Planner, Run, figures, program, story
+from loopback import FRONT, SETTINGS, Catalog, GearmanPeer, HttpClient, Planner, Run, figures, program, story
 
 from pipitshed.config.class_registry import ClassRegistry
 from pipitshed.config.completeness import missing_key
 from pipitshed.config.front import load_front
 from pipitshed.config.platform import load_platform_config
+from pipitshed.config.tenant_registry import TenantRegistry
+from pipitshed.protocols.gearman import Kind
 from pipitshed.scheduling.actions import StartAttempt
 from pipitshed.scheduling.dispatcher import Dispatcher
 from pipitshed.scheduling.events import EndpointEntry, EndpointsUpdated, JobSubmitted, UpdateKind
-from pipitshed.scheduling.settings import Idempotency, JobClass, Settings, WeightKind
+from pipitshed.scheduling.settings import Idempotency, JobClass, Settings, Tenant, WeightKind
 from pipitshed.server.server import Scheduler
 
 QUOTE, BOOK = (
@@ -157,6 +161,71 @@
         assert told["scheduler.conf_loaded"] == 1
 
 
+@given(
+    st.lists(
+        st.lists(st.tuples(st.sampled_from(["andes", "norte", "sur", ""]), st.floats(0.1, 9.0)), max_size=5),
+        min_size=1,
+        max_size=6,
+    )
+)
+def test_a_tenant_keeps_its_number_over_files(files: list[list[tuple[str, float]]]) -> None:
+    """Whatever files come, a number stands for one name, and has the share that the file in force says."""
+    registry = TenantRegistry.first([name for name, _ in files[0]])
+    seen = dict(enumerate(registry.names))
+    for file in files:
+        registry = registry.updated([name for name, _ in file])
+        held = registry.by_number([Tenant(share) for _, share in file])
+        assert len(set(registry.numbers)) == len(file)
+        for number, (name, share) in zip(registry.numbers, file, strict=True):
+            assert seen.setdefault(number, name) == name and held[number].quota_share == share
+        assert sum(tenant.quota_share for tenant in held) == pytest.approx(sum(share for _, share in file))
+        tenants = registry.accepted()
+        assert tenants.number("nobody") == tenants.unknown == len(held)
+        assert set(tenants.by_name) == {name for name, _ in file}
+
+
+@story
+async def test_tenants_in_another_order_keep_their_counts_at_both_fronts() -> None:
+    """Guards against jobs counted for another tenant after SIGHUP: for two seconds at the HTTP front, and for
+    good at the Gearman front, whose functions kept a place in the first file."""
+    andes, norte, sur = [{"name": name, "share": 1.0} for name in ("andes-retail", "norte", "sur")]
+    untold = FRONT + '[gearman.functions.plan_any]\nclass = "quote"\n'
+    with tempfile.TemporaryDirectory() as folder:
+        trace = Path(folder) / "trace"
+        async with (
+            Planner("p1") as planner,
+            Catalog(planner) as catalog,
+            program(
+                catalog=catalog,
+                front=untold,
+                settings={"tenants": [andes, norte]},
+                env={"LB_TRACE": str(trace)},
+            ) as running,
+        ):
+            await catalog.watches.get()
+            client = await HttpClient.to(running.port)
+            gearman = await GearmanPeer.to(running.gearman_port)
+
+            async def ask() -> None:
+                for tenant in ("andes-retail", "norte", "sur"):
+                    client.ask(f"{tenant}-{len(planner.runs)}", X_Tenant=tenant)
+                    assert (await client.answer())[0] == 200
+                for function in (b"plan_quote", b"plan_any"):
+                    await gearman.submit(function, b"", b"six")
+                    await gearman.expect(Kind.WORK_COMPLETE)
+
+            await ask()
+            running.reload(_file(running.config.read_text(), tenants=[sur, norte, andes]))
+            await running.logged("settings read anew")
+            await ask()
+        told = [
+            int(line.partition("tenant=")[2].split()[0])
+            for line in trace.read_text().splitlines()
+            if " < Submitted " in line
+        ]
+    assert told == [0, 1, 2, 0, 2] + [0, 1, 2, 0, 3]
+
+
 @story
 async def test_fewer_attempts_are_never_exceeded() -> None:
     def away(run: Run) -> None:
