A row whose address can't be parsed takes no probe

What callers saw: with front-file translation and a list that tells no interfaces, after eight rows with a malformed host_port no worker was probed any more; all that nobody tells the interface of stayed without jobs until a restart.

Cause: the row's interface was looked up before its address was parsed. The registry kept the worker, took one of its eight probe slots, and only then met the address (ValueError), so that the slot was never given back.

Change: the address is parsed first. A row that can't be parsed leaves nothing behind, and is reported as before.

Evidence: test_rows_with_an_address_that_is_none_cost_no_probe, 4 cases, all failed before, pass.

--- a/pipitshed/discovery/catalog/endpoint_parser.py
+++ b/pipitshed/discovery/catalog/endpoint_parser.py
@@ -51,6 +51,7 @@
 
     def row(self, entry: CatalogEntry) -> EndpointRow:
         """The table's row for one entry; ValueError if its address can't be parsed."""
+        address = parse_address(entry.host_port)
         worker = entry.instance_id.encode()
         interface, worker_client = _DEFAULT_INTERFACE, self._worker_client
         if self.interface_resolver is not None:
@@ -68,5 +69,5 @@
             job_classes,
             interface,
         )
-        endpoint = Endpoint(worker, worker_client, parse_address(entry.host_port), interface)
+        endpoint = Endpoint(worker, worker_client, address, interface)
         return scheduling_entry, endpoint
--- a/tests/discovery/test_worker_interfaces.py
+++ b/tests/discovery/test_worker_interfaces.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+import pytest
 from grpc_peer import GrpcPlanner
 from interface_world import World, row
 from loopback import Planner, story
@@ -61,6 +63,21 @@
     assert len(world.asked) == 100 and world.table.interfaces() == {1, 2}
 
 
+@pytest.mark.parametrize("address", ["", "10.0.0.7", "10.0.0.7:http", "10.0.0.7:70000"])
+def test_rows_with_an_address_that_is_none_cost_no_probe(address: str) -> None:
+    """Guards against a probe lost for each such row: after eight of them no worker was probed any more, and
+    all workers whose interface nobody tells were left without a job."""
+    world = World()
+    for number in range(2 * MAX_CONCURRENT_PROBES):
+        with pytest.raises(ValueError, match="host:port"):
+            world.list(msgspec.structs.replace(row(f"bad{number}"), host_port=address))
+    world.list(*(row(f"p{number}") for number in range(100)))
+    assert len(world.asked) == MAX_CONCURRENT_PROBES
+    for place in range(100):
+        world.interfaces.detected(*world.asked[place], 1)
+    assert len(world.asked) == 100
+
+
 def test_a_row_that_is_seen_to_be_wrong_is_doubted_and_found_out() -> None:
     world = World()
     world.list(row(interface=2))
