A settings row is confirmed after the settings are applied, not before

What operators saw: 'in force at all' of a change that a scheduler did not act on.

Cause: rows were recorded as applied, and so confirmed to their writers, before the settings went to the scheduler's parts, at each batch of rows and at SIGHUP. An exception between the two left a confirmed row that nobody acted on; the operator whose change was in that batch had no answer at all.

Change: the rows are recorded once the settings are applied.

--- a/pipitshed/cluster/settings.py
+++ b/pipitshed/cluster/settings.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from functools import partial
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol, TypeVar
 
 from pipitshed.cluster import counters, row_store
 from pipitshed.cluster.messages import ClusterMessage, PutDone, SettingsMessage
@@ -41,6 +41,7 @@
 
 log = logging.getLogger("pipitshed.fleet")
 Reply = Callable[[ClusterMessage], None]
+_Applied = TypeVar("_Applied")
 
 
 @dataclass(frozen=True)
@@ -175,18 +176,19 @@
         self.transport.disseminate(row)
         self._schedule_batch()
 
-    def reapply_over(self, raw: dict[str, Any]) -> dict[str, Any]:
-        """The settings of a file that was read again, with the rows laid over them.
+    def reapply_over(self, raw: dict[str, Any], apply: Callable[[dict[str, Any]], _Applied]) -> _Applied:
+        """Have the settings of a file that was read again applied, with the rows laid over them.
 
-        The rows are recorded as applied, and confirmed to their writers: the caller applies what it gets.
+        The rows are confirmed to their writers once `apply` has returned; what it raises is raised here.
         """
         state = self.confirmations.state
         if not state.rows:
-            settings: dict[str, Any] = raw["settings"]
-            return settings
+            return apply(raw["settings"])
         rows = tuple(state.rows.values())
-        laid = self._lay_over_and_record(raw, rows, state.digest, state.applied, file_is_new=True)
-        return laid.raw["settings"]  # type: ignore[no-any-return]
+        laid = overlay(raw, rows, state.applied, self.target.fixed_classes)
+        result = apply(laid.raw["settings"])
+        self._record_applied(raw, laid, rows, state.digest, file_is_new=True)
+        return result
 
     def metrics(self) -> dict[str, int]:
         """The figures for `/-/metrics`."""
@@ -254,25 +256,35 @@
             self._schedule_batch()
 
     def _apply(self, rows: tuple[Row, ...], digest: bytes, previously_applied: Mapping[str, Row]) -> None:
-        applied_before = self.confirmations.state.applied
-        laid = self._lay_over_and_record(self.target.file(), rows, digest, previously_applied)
-        if laid.applied != applied_before:
-            self.target.apply(laid.raw["settings"])
+        raw = self.target.file()
+        laid = overlay(raw, rows, previously_applied, self.target.fixed_classes)
+        try:
+            if laid.applied != self.confirmations.state.applied:
+                self.target.apply(laid.raw["settings"])
+        except Exception as error:
+            # Nothing is confirmed: as far as is known, this scheduler acts on what was applied before.
+            log.exception("rows could not be applied")
+            self._answer_pending(f"written, but not applied here: {error}")
+            return
+        self._record_applied(raw, laid, rows, digest)
+        self._answer_pending("")
+
+    def _answer_pending(self, why: str) -> None:
+        """Answer the changes that waited for this batch; `why` is empty where they are applied."""
         for pending in self._pending_replies:
-            pending.reply(PutDone(self.name, "", pending.row.term, pending.row.number))
+            pending.reply(PutDone(self.name, why, pending.row.term, pending.row.number))
         self._pending_replies.clear()
 
-    def _lay_over_and_record(
+    def _record_applied(
         self,
         raw: dict[str, Any],
+        laid: Overlay,
         rows: tuple[Row, ...],
         digest: bytes,
-        previously_applied: Mapping[str, Row],
         file_is_new: bool = False,
-    ) -> Overlay:
-        """Lay rows over a file; the writers of changed rows are notified, and the logs are written."""
+    ) -> None:
+        """Record applied rows; the writers of changed ones are notified, and the logs are written."""
         before = self.confirmations.state
-        laid = overlay(raw, rows, previously_applied, self.target.fixed_classes)
         changed = [
             row
             for row in rows
@@ -286,7 +298,6 @@
         self._log_applied_event(digest, laid, changed)
         log_overlay(raw, laid, rows if file_is_new else changed)
         self.schedule()
-        return laid
 
     def _log_applied_event(self, digest: bytes, laid: Overlay, changed: Iterable[Row]) -> None:
         applied, rejected = [], []
--- a/pipitshed/server/reload.py
+++ b/pipitshed/server/reload.py
@@ -54,17 +54,19 @@
             log.error("the configuration stays as it was: %s", error)
             return
         self.loaded_count += 1
-        config = self._with_rows(config)
-        changes = self.apply(config)
-        log.info("settings read anew: %s; at most %d attempts", changes, config.settings.limits.max_attempts)
-        self._follow_discovery(config)
+        changes = self._apply_with_rows(config)
+        max_attempts = self.config.settings.limits.max_attempts
+        log.info("settings read anew: %s; at most %d attempts", changes, max_attempts)
+        self._follow_discovery(self.config)
 
-    def _with_rows(self, config: Config) -> Config:
-        """The configuration with the cluster's rows over the file's settings."""
+    def _apply_with_rows(self, config: Config) -> ClassChanges:
+        """Apply the configuration with the cluster's rows over the file's settings."""
         node = self._parts.cluster_node
-        if node is not None and node.settings is not None and config.raw is not None:
-            config = with_settings(config, node.settings.reapply_over(config.raw))
-        return config
+        if node is None or node.settings is None or config.raw is None:
+            return self.apply(config)
+        return node.settings.reapply_over(
+            config.raw, lambda settings: self.apply(with_settings(config, settings))
+        )
 
     def _follow_discovery(self, config: Config) -> None:
         discovery = self._parts.discovery
--- a/tests/cluster/test_settings_fleet.py
+++ b/tests/cluster/test_settings_fleet.py
@@ -40,6 +40,7 @@
     config: Config
     fleet: ClusterNode = field(init=False)
     retuned: list[Config] = field(default_factory=list)
+    broken: bool = False  # an exception comes while it takes settings
 
     def raw(self) -> dict[str, Any]:
         assert self.config.raw is not None
@@ -48,9 +49,13 @@
     def read(self, config: Config) -> None:
         """A file that is read anew."""
         assert self.fleet.settings is not None and config.raw is not None
-        self.config = with_settings(config, self.fleet.settings.reapply_over(config.raw))
+        self.config = self.fleet.settings.reapply_over(
+            config.raw, lambda settings: with_settings(config, settings)
+        )
 
     def retune(self, settings: dict[str, Any]) -> None:
+        if self.broken:
+            raise RuntimeError("planted")
         self.config = with_settings(self.config, settings)
         self.retuned.append(self.config)
 
@@ -134,6 +139,27 @@
         assert status.startswith("0 ") and status.count(" yes") == 3
 
 
+@told
+async def test_rows_are_not_confirmed_where_an_exception_kept_them_from_being_applied(folder: Path) -> None:
+    """Guards against `in force` of a row that a scheduler does not act on: it was recorded, and so confirmed,
+    before the settings were applied."""
+    async with nodes(folder, {}, {}) as (one, two):
+        two.broken = True
+        assert (await call("put", SHARE, "0.4", "--wait", "1", "--peer", one.peer)).startswith("3 ")
+        assert (one.share, two.share) == (0.4, 1.0)
+        assert "written, but not applied here: planted" in await call(
+            "put", DEADLINE, "4000", "--peer", two.peer
+        )
+        with pytest.raises(RuntimeError, match="planted"):
+            two.fleet.settings.reapply_over(two.raw(), two.retune)  # type: ignore[union-attr]
+        status = await call("status", "--peer", one.peer)
+        assert status.startswith("3 ")
+        two.broken = False
+        assert "in force at all 2" in await call("put", SHARE, "0.5", "--peer", one.peer)
+        assert (one.share, two.share) == (0.5, 0.5)
+        assert (await call("status", "--peer", one.peer)).startswith("0 ")
+
+
 @told
 async def test_what_a_scheduler_refuses_is_told_by_name(folder: Path) -> None:
     renamed = {"tenants": [{"name": "other", "share": 1.0, "allowancePerS": 5.0}]}
