A sample of rows ends an exchange even where a request's salt is 0

What was at stake: a KeyError in the turn of the membership protocol, once in four thousand million requests.

Cause: a sample (the few rows that a seed gives a peer that has almost none) carries the salt 0. It dropped the running exchange, and then went on to compare its salt with that of the request that was out. Where that was 0 as well, the dropped exchange asked on, and its end deleted it a second time.

Change: after a sample the exchange is over, whatever the salt.

Evidence: test_a_sample_ends_an_exchange_whose_request_has_the_salt_of_none failed before (the dropped exchange asked on), passes; tests/replication/test_replication.py: 27 passed.

--- a/pipitshed/replication/anti_entropy.py
+++ b/pipitshed/replication/anti_entropy.py
@@ -190,10 +190,11 @@
         """
         outgoing = self.responder.send_requested(now, peer, message, newer_keys)
         exchange = self._exchanges.get((message.table, peer))
-        if exchange is not None and message.is_sample:
-            del self._exchanges[message.table, peer]
         if exchange is None:
             return outgoing
+        if message.is_sample:  # it answers no request for rows, whatever its salt
+            del self._exchanges[message.table, peer]
+            return outgoing
         request = exchange.pending_request
         if not isinstance(request, Items) or request.salt != message.salt:
             return outgoing
--- a/tests/replication/test_replication.py
+++ b/tests/replication/test_replication.py
@@ -571,3 +571,24 @@
     assert unpack(pack(told)[:cut], ROWS) in ((), told)
     assert isinstance(unpack(junk, ROWS), tuple)
     assert unpack(pack([Row("k", 1, 1, "w", bytes(2 * UNPACKED_LIMIT_BYTES))]), ROWS) == ()
+
+
+class Zeros(random.Random):
+    """Draws the lowest number each time."""
+
+    def randrange(self, *_: object) -> int:  # type: ignore[override]
+        return 0
+
+
+def test_a_sample_ends_an_exchange_whose_request_has_the_salt_of_none() -> None:
+    """Guards against a KeyError that ends the turn of the protocol: a sample has the salt 0, and so may, once
+    in four thousand million, a request for rows that was out when it came."""
+    held = table()
+    held.put("k", b"1", "w")
+    repair = AntiEntropy([held], BandwidthBudget(1, 0.0), Zeros(), 0)
+    [asked] = repair.compare_random_range(1.0, 0, THERE)
+    assert isinstance(asked.message, Items) and asked.message.salt == 0
+    sample = Rows(0, pack([Row("k2", 1, 1, "w", b"2")]), complete=False)
+    assert sample.is_sample and sample.salt == 0
+    assert repair.receive_rows(1.1, THERE, sample, 1, ()) == []
+    assert repair.is_idle(0, THERE) and repair.handle_timeouts(60.0) == []
