Rows that don't fit a file read again count it as invalid

What operators saw: scheduler.conf_loaded went up for a file of which nothing was applied, conf_invalid did not, and the error ended as a traceback in the signal's handler.

Cause: the file was counted as loaded before the cluster's rows were laid over it; an error there was no longer caught.

Change: laying the rows over the file, and applying both, stand within what is counted as one or the other.

Evidence: test_rows_that_a_file_can_not_carry_count_as_an_invalid_file failed before (the error left reload), passes; tests/server/test_reload.py: 12 passed.

--- a/pipitshed/server/reload.py
+++ b/pipitshed/server/reload.py
@@ -49,12 +49,12 @@
             config = load_platform_config()
             if (missing := missing_key(self.config.raw, config.raw)) is not None:
                 raise ConfigError(f"the file lacks {missing}")
+            changes = self._apply_with_rows(config)
         except ConfigError as error:
             self.invalid_count += 1
             log.error("the configuration stays as it was: %s", error)
             return
         self.loaded_count += 1
-        changes = self._apply_with_rows(config)
         max_attempts = self.config.settings.limits.max_attempts
         log.info("settings read anew: %s; at most %d attempts", changes, max_attempts)
         self._follow_discovery(self.config)
--- a/tests/server/test_reload.py
+++ b/tests/server/test_reload.py
@@ -6,6 +6,7 @@
 import json
 import tempfile
 from pathlib import Path
+from unittest.mock import Mock
 
 import pytest
 from hypothesis import given
@@ -14,6 +15,7 @@
 
 from pipitshed.config.class_registry import ClassRegistry
 from pipitshed.config.completeness import missing_key
+from pipitshed.config.errors import SettingsError
 from pipitshed.config.front import load_front
 from pipitshed.config.platform import load_platform_config
 from pipitshed.config.tenant_registry import TenantRegistry
@@ -22,6 +24,7 @@
 from pipitshed.scheduling.dispatcher import Dispatcher
 from pipitshed.scheduling.events import EndpointEntry, EndpointsUpdated, JobSubmitted, UpdateKind
 from pipitshed.scheduling.settings import Idempotency, JobClass, Settings, Tenant, WeightKind
+from pipitshed.server.reload import SettingsReloader
 from pipitshed.server.server import Scheduler
 
 QUOTE, BOOK = (
@@ -123,6 +126,23 @@
     assert missing_key(before, {"name": "n0", "settings": []}) == "settings"
 
 
+def test_rows_that_a_file_can_not_carry_count_as_an_invalid_file(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a file that is counted as loaded though none of it was applied, and an exception in the
+    signal's handler: the error was that of the cluster's rows over the file."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"listen": "127.0.0.1:0", "settings": SETTINGS}))
+    monkeypatch.setenv("LB_CONFIG", str(path))
+    parts = Mock(placement_plan=None)
+    parts.cluster_node.settings.reapply_over.side_effect = SettingsError("the rows don't fit")
+    before = load_platform_config()
+    reloader = SettingsReloader(before, Mock(), parts, Mock())
+    reloader.reload()
+    assert (reloader.invalid_count, reloader.loaded_count) == (1, 0) and reloader.config is before
+    assert not parts.discovery.follow.called
+
+
 def _file(running_config: str, **settings: object) -> str:
     told = json.loads(running_config)
     told["settings"] = told["settings"] | settings
