Hollow schedulers of the capacity benchmark act on settings rows

What was seen: the benchmark's case 'one change' measured a traceback, a row that no hollow scheduler acted on.

Cause: SettingsTarget was given a function that returns a Config where the file's dict is asked for, and one that takes a Config where it gets settings.

Change: the hollow scheduler returns its file, and lays the settings over its configuration as the program does.

--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -31,7 +31,7 @@
 from pipitshed.cluster.config_file import ClusterConfig
 from pipitshed.cluster.messages import ClusterMessage
 from pipitshed.cluster.settings import SettingsTarget
-from pipitshed.config.platform import Config, load_platform_config
+from pipitshed.config.platform import Config, load_platform_config, with_settings
 from pipitshed.membership.members import Address
 from pipitshed.membership.timing import ProtocolTimings
 from pipitshed.protocols.address import parse_address
@@ -88,8 +88,13 @@
     def __init__(self, config: Config) -> None:
         self.config, self.since = config, 0.0
 
-    def retune(self, config: Config) -> None:
-        self.config, self.since = config, monotonic()
+    def file(self) -> dict[str, Any]:
+        """The file in force, as it was read."""
+        return self.config.raw or {}
+
+    def apply(self, settings: dict[str, Any]) -> None:
+        """Act on the settings of that file with rows over them."""
+        self.config, self.since = with_settings(self.config, settings), monotonic()
 
 
 async def hollow(first: int, count: int, config: Config, seeds: list[Address]) -> None:
@@ -111,7 +116,7 @@
             None,
             ProtocolTimings(),
         )
-        tuned = SettingsTarget(lambda one=acting[-1]: one.config, acting[-1].retune)  # type: ignore[misc]
+        tuned = SettingsTarget(acting[-1].file, acting[-1].apply)
         fleets.append(edge.ClusterNode(peers, "", loop, tuned))
     looks, reader = Looks(), asyncio.StreamReader()
     watching = loop.create_task(looks.look())
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,20 +2,27 @@
 
 from __future__ import annotations
 
+import json
 import math
 import re
 from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
+from loopback import SETTINGS
 
 from benchmarks.capacity import gangs, letter, page, urgent
 from benchmarks.capacity.__main__ import main
 from benchmarks.capacity.figures import Line, plus, ratio, text
 from benchmarks.capacity.fits import FitError, fit
 from benchmarks.capacity.held import timers
+from benchmarks.capacity.hollow import Acting
 from benchmarks.capacity.records import ROOT, Row, Run, read, read_all, write
 from benchmarks.capacity.serving import configuration
+from pipitshed.cluster.settings import SettingsTarget
+from pipitshed.config.platform import load_platform_config
+from pipitshed.config.row_overlay import overlay
+from pipitshed.replication.row import Row as SettingsRow
 
 SIZES = (10, 40, 90, 160, 250)
 LINE = Line("planners", "calm", "cpu_us", "linear", "us")
@@ -121,3 +128,16 @@
     # Nothing holds a gang together: where room is short some start, and hold their slots for nothing.
     short = gangs.gang(32, 0.98, 1)
     assert short["whole"] == 0.0 and short["started"] > 0 and short["held_slot_s"] > 0
+
+
+def test_a_hollow_scheduler_acts_on_rows_as_the_program_does(tmp_path: Path) -> None:
+    """Guards against a benchmark that measures a traceback: it was given what is no file, and settings that
+    it took for a whole configuration."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"listen": "127.0.0.1:0", "settings": SETTINGS}))
+    acting = Acting(load_platform_config({"LB_CONFIG": str(path)}))
+    target = SettingsTarget(acting.file, acting.apply)
+    laid = overlay(target.file(), [SettingsRow("tenant/andes-retail/share", 1, 1, "s0", b"0.4")])
+    assert not laid.rejected and acting.since == 0.0
+    target.apply(laid.raw["settings"])
+    assert acting.config.settings.tenants[0].quota_share == 0.4 and acting.since > 0.0
