A member takes its name back once the process that had it is gone

What operators saw: a scheduler that moved to another address while its clock was set back was out of the view, refused settings and was not told changes in time, until its next start.

Cause: peers told it of its own earlier life at the old address, alive and with a later clock. It took that for another process that holds the name, and that verdict was final, also when the peers declared that life dead moments later.

Change: news that the other process is dead or has left ends it: the member refutes, as it does for an earlier life at its own address, and goes on as before. It hears of it as it keeps probing, and peers tell a death to whoever holds that member alive. A new instruction (Reinstated) lets the log and the event log say so. Of two live processes with one name the later still has it.

--- a/pipitshed/cluster/node.py
+++ b/pipitshed/cluster/node.py
@@ -22,6 +22,7 @@
 from pipitshed.membership.instructions import (
     Instruction,
     MemberStateChanged,
+    Reinstated,
     RowsChanged,
     SendMessage,
     Superseded,
@@ -222,6 +223,8 @@
                 self.settings.rows_received(instruction.rows)
             elif isinstance(instruction, Superseded):
                 self._log_superseded(instruction.by)
+            elif isinstance(instruction, Reinstated):
+                self._log_reinstated(instruction.after)
         if instructions:
             self._log_view()
 
@@ -257,13 +260,17 @@
     def _log_superseded(self, other: MemberRecord) -> None:
         log.error(
             "another process holds the name %s: %s:%d, started later by its clock; "
-            "this one is out of the view until its next start",
+            "this one is out of the view until that one is gone",
             other.name,
             other.host,
             other.port,
         )
         self._events.write("displaced", by=f"{other.host}:{other.port}", life=other.instance_id)
 
+    def _log_reinstated(self, other: MemberRecord) -> None:
+        log.warning("the process at %s:%d that held this name is gone", other.host, other.port)
+        self._events.write("reinstated", after=f"{other.host}:{other.port}", life=other.instance_id)
+
     def _log_view(self) -> None:
         """Write the view to the event log where it has changed."""
         view = self.membership.view
--- a/pipitshed/membership/instructions.py
+++ b/pipitshed/membership/instructions.py
@@ -32,6 +32,13 @@
     by: MemberRecord
 
 
+@dataclass(frozen=True, slots=True)
+class Reinstated:
+    """The process that had this member's name is gone, so that the name is this member's again."""
+
+    after: MemberRecord
+
+
 @dataclass(frozen=True, slots=True)
 class RowsChanged:
     """These rows of a table are new here: sent by a peer, or written here."""
@@ -40,4 +47,4 @@
     rows: tuple[Row, ...]
 
 
-Instruction = SendMessage | MemberStateChanged | Superseded | RowsChanged
+Instruction = SendMessage | MemberStateChanged | Superseded | Reinstated | RowsChanged
--- a/pipitshed/membership/local_state.py
+++ b/pipitshed/membership/local_state.py
@@ -33,9 +33,7 @@
     rng: random.Random
     probe_numbers: Iterator[int]
     timers: TimerQueue
-    superseded: bool = (
-        False  # another process holds the name, by its record's clock; final until the next start
-    )
+    superseded: bool = False  # another process has the name, by its record's clock, and is not known as gone
     leaving: bool = False
 
     @property
--- a/pipitshed/membership/protocol.py
+++ b/pipitshed/membership/protocol.py
@@ -84,7 +84,7 @@
 
     @property
     def superseded(self) -> bool:
-        """Whether another process has this member's name, and started later."""
+        """Whether another process has this member's name, started later, and is not known to be gone."""
         return self._local.superseded
 
     @property
--- a/pipitshed/membership/suspicion.py
+++ b/pipitshed/membership/suspicion.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass, field
 
-from pipitshed.membership.instructions import MemberStateChanged, Superseded
+from pipitshed.membership.instructions import MemberStateChanged, Reinstated, Superseded
 from pipitshed.membership.local_state import VIEW_INDEX, LocalState, Outbox
 from pipitshed.membership.members import MemberRecord, MemberState, precedence
 from pipitshed.membership.timers import Timer
@@ -89,12 +89,16 @@
 
     def _apply_other_instance(self, now: float, record: MemberRecord) -> None:
         local = self._local
-        if precedence(record) <= precedence(local.self_record) or local.superseded:
+        if precedence(record) <= precedence(local.self_record):
             return
         if record.is_departed or record.address == local.self_record.address:
-            # An earlier instance of this member, whose clock was ahead: no other process has this name.
+            # An earlier instance of this member, whose clock was ahead, or another process that is gone: none
+            # has this name now.
+            if local.superseded:
+                local.superseded = False
+                self._outbox.add(Reinstated(record))
             self._refute(now, record)
-        else:
+        elif not local.superseded:
             local.superseded = True
             self._outbox.add(Superseded(record))
 
--- a/pipitshed/testbed/virtual_view.py
+++ b/pipitshed/testbed/virtual_view.py
@@ -13,6 +13,7 @@
 from pipitshed.membership.instructions import (
     Instruction,
     MemberStateChanged,
+    Reinstated,
     RowsChanged,
     SendMessage,
     Superseded,
@@ -68,6 +69,7 @@
         self.news: list[tuple[float, str, MemberStateChanged]] = []
         self.row_news: list[tuple[float, str, Row]] = []
         self.displaced: list[str] = []
+        self.reinstated: list[str] = []
         self.sent: Counter[str] = Counter()
         self.bytes_out: Counter[tuple[str, int]] = Counter()  # by name and whole second
         self._events: list[tuple[float, int, Address, int, Message | None, Address]] = []
@@ -207,6 +209,8 @@
                 self.row_news += [(self.now, node.name, row) for row in effect.rows]
             elif isinstance(effect, Superseded):
                 self.displaced.append(node.name)
+            elif isinstance(effect, Reinstated):
+                self.reinstated.append(node.name)
 
     def _send(self, node: Node, to: Address, message: Message) -> None:
         self.sent[node.name] += 1
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -179,6 +179,34 @@
     assert network.settle(2 * WITHIN) is not None and network.displaced == []
 
 
+@pytest.mark.parametrize("seed", [8, 9, 10])
+@pytest.mark.parametrize("after", [0.05, 0.7, 2.0])
+def test_a_name_on_another_address_with_its_clock_stood_back_is_in_the_view_again(
+    after: float, seed: int
+) -> None:
+    """Guards against a member that stays out of the view until its next start: it took its life before, at
+    its old address, for another process that holds the name, also once that was known to be dead."""
+    network = joined(seed)
+    node = list(network.nodes.values())[9]
+    network.kill(node)
+    network.run(after)
+    again = network.start(60, [0, 1], clock=-3600.0, name=node.name)
+    assert network.settle(4 * WITHIN) is not None
+    assert not again.membership.superseded and network.reinstated in ([], [node.name])
+
+
+def test_a_name_that_two_hold_goes_to_the_one_that_is_left() -> None:
+    """The earlier of two processes with one name is out of the view for as long as the later one lives."""
+    network = joined(9)
+    earlier = next(node for node in network.nodes.values() if node.name == "n5")
+    later = network.start(61, [0, 1], name="n5")
+    network.run(10.0)
+    assert earlier.membership.superseded and network.displaced == ["n5"]
+    network.kill(later)
+    assert network.settle(4 * WITHIN) is not None
+    assert not earlier.membership.superseded and network.reinstated == ["n5"]
+
+
 def test_a_name_that_two_hold_goes_to_the_later_and_the_other_hears_so() -> None:
     network = joined(9)
     network.start(61, [0, 1], name="n5")
