Two schedulers of a story listen on loopback addresses of their own

What was seen: in test_rows_are_acted_on_by_processes_... a start whose first log line was no INFO, once on 2026-12-03; its text was lost.

Cause, by a forced run: the story drew two free ports, released them, and had schedulers listen there a moment later (the second of them again after a restart), on the address that all stories share. With the port taken in between, by TCP or by UDP, the first line of a start is 'pipitshed: can't listen: Address already in use', which is no INFO, and the program ends with 2 as it should. Whole runs open thousands of connections and sockets from the same range of ports. That this was the lost line is the only explanation found, and not proven: the text is gone.

Change: the story's schedulers listen at loopback addresses that belong to its process, as the rig's do. Its checks are as they were. From now on a start that fails is told with all lines that the program said and its exit code.

--- a/tests/cluster/test_settings_fleet.py
+++ b/tests/cluster/test_settings_fleet.py
@@ -29,6 +29,7 @@
 from pipitshed.config.platform import Config, load_platform_config, with_settings
 from pipitshed.replication.commit_tracking import AppliedReport
 from pipitshed.server.server import Scheduler
+from pipitshed.testbed.fleet.processes import block
 
 SHARE, DEADLINE = "tenant/andes-retail/share", "class/quote/deadline"
 
@@ -336,25 +337,24 @@
 # ---- with real processes
 
 
-def fleet_file(folder: Path, name: str, port: int, *seeds: int) -> tuple[str, ...]:
+PEER_PORT = 7946
+
+
+def fleet_file(folder: Path, name: str, host: str, *seeds: str) -> tuple[str, ...]:
     """The words that start a scheduler of this name."""
     path = folder / f"{name}.toml"
     path.write_text(
-        f'name = "{name}"\nlisten = "127.0.0.1:{port}"\ncluster = "red"\n'
-        f'rows-file = "{name}.rows"\nseeds = {[f"127.0.0.1:{seed}" for seed in seeds]}\n'
+        f'name = "{name}"\nlisten = "{host}:{PEER_PORT}"\ncluster = "red"\n'
+        f'rows-file = "{name}.rows"\nseeds = {[f"{seed}:{PEER_PORT}" for seed in seeds]}\n'
         "[scales]\nperiod = 0.1\nack-within = 0.05\nsync = 0.5\nsync-with-gone = 1.0\n"
     )
     return "serve", "--fleet", str(path)
 
 
-def free_ports(count: int) -> list[int]:
-    taken = [socket.socket() for _ in range(count)]
-    for one in taken:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in taken]
-    for one in taken:
-        one.close()
-    return ports
+def own_hosts(count: int) -> list[str]:
+    """Loopback addresses that are this process's own: a port that was free a moment ago on the common one may
+    be anybody's when a scheduler listens there."""
+    return [f"{block()}.{number}" for number in range(1, count + 1)]
 
 
 async def given_up(running: Program, number: str) -> bool:
@@ -364,6 +364,17 @@
     return (await client.answer())[0] in (500, 503) and monotonic() - began < 3.0
 
 
+@told
+async def test_a_start_that_fails_is_told_with_all_that_the_program_said(folder: Path) -> None:
+    """Guards against a failed start whose reason is lost, as it was where another process had the port."""
+    [host] = own_hosts(1)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind((host, PEER_PORT))
+        with pytest.raises(AssertionError, match="did not start .2.: .*can't listen: Address already in use"):
+            async with program(command=fleet_file(folder, "s1", host)):
+                pass
+
+
 @told
 async def test_rows_are_acted_on_by_processes_stand_over_a_file_read_anew_and_outlive_a_restart(
     folder: Path,
@@ -374,9 +385,9 @@
         run.say("started")
         held.append(run)
 
-    ports = free_ports(2)
-    words = [fleet_file(folder, "s1", ports[0]), fleet_file(folder, "s2", ports[1], ports[0])]
-    peer = ("--peer", f"127.0.0.1:{ports[1]}")
+    hosts = own_hosts(2)
+    words = [fleet_file(folder, "s1", hosts[0]), fleet_file(folder, "s2", hosts[1], hosts[0])]
+    peer = ("--peer", f"{hosts[1]}:{PEER_PORT}")
     async with Planner("p1", act=hold) as planner, Catalog(planner) as catalog:
         async with (
             program(catalog=catalog, command=words[0]) as first,
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,12 +12,13 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 from pipitshed.protocols.gearman import HEAD, REQUEST, Kind, pack
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 20.0  # s after which a story that hangs has failed
+START_FAILURE_S = 2.0  # for which a program that fails to start is listened to
 SETTINGS: dict[str, Any] = {
     "areas": ["lima-norte", "arequipa"],
     "shapes": ["fast", "standard", "slow"],
@@ -209,6 +210,17 @@
             assert self.log[-1], f"the program ended without {text!r}: {self.log}"
 
 
+async def _fail_start(running: Program) -> NoReturn:
+    """Fail with all that the program said; it is given a moment to say the rest."""
+    process = running.process
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(process.wait(), START_FAILURE_S)
+    if process.returncode is None:
+        process.kill()
+    rest, _ = await process.communicate()
+    raise AssertionError(f"the program did not start ({process.returncode}): {running.log + [rest.decode()]}")
+
+
 @contextlib.asynccontextmanager
 async def program(
     *planners: Planner,
@@ -259,7 +271,8 @@
                 running.log.append("")
                 while "listening" not in running.log[-1]:
                     running.log.append((await process.stdout.readline()).decode())  # type: ignore[union-attr]
-                    assert running.log[-1].startswith("INFO"), running.log[-1]
+                    if not running.log[-1].startswith("INFO"):
+                        await _fail_start(running)
                 port = int(running.log[-1].rpartition(":")[2].split()[0])
                 running.port, running.gearman_port = (port, 0) if place == 0 else (running.port, port)
             if mgmt:
