A seeded soak of the live program: plays, signals and rules drawn and judged

The testbed's scheduler takes a change of its configuration, its discovery can be silent, and its Gearman clients say when a job was not taken.

--- /dev/null
+++ b/benchmarks/soak/drawing.py
@@ -0,0 +1,132 @@
+"""What one play of the soak consists of, drawn by its seed alone."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Any, Literal
+
+from pipitshed.testbed.clients import KINDS
+
+LONGEST_DEADLINE_S = 3.0  # so that SIGKILL never comes before a request's own time is over
+RepeatKind = Literal["retryable", "dedup", "fragile"]
+TroubleKind = Literal["roll", "goaway", "crash", "cut", "slow", "hang", "discovery"]
+
+
+@dataclass(frozen=True, slots=True)
+class JobClassDraw:
+    """A job class of the deployment."""
+
+    name: str
+    deadline_s: float
+    repeat: RepeatKind
+    scope: Literal["all", "zone"]
+
+    def settings(self) -> dict[str, Any]:
+        """The class as the platform's settings have it."""
+        return {
+            "name": self.name,
+            "deadline": self.deadline_s * 1000,
+            "goalTime": self.deadline_s * 300,
+            "repeat": self.repeat,
+            "keyScope": self.scope,
+            "window": 25_000.0,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """A trouble of workers or discovery, at a time of the play (s)."""
+
+    at: float
+    kind: TroubleKind
+    worker: int
+    lasts: float
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """The program stands still (SIGSTOP, SIGCONT)."""
+
+    at: float
+    lasts: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reload:
+    """SIGHUP; with the tenants in another order where `reorder` is set."""
+
+    at: float
+    reorder: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Play:
+    """One play."""
+
+    seed: int
+    seconds: float  # of traffic before SIGTERM
+    rate: float  # requests a second
+    classes: tuple[JobClassDraw, ...]
+    interfaces: tuple[int, ...]  # of the workers
+    fail: float  # part of the jobs that workers fail
+    slots: int  # of a worker
+    mix: dict[str, float]  # kinds of clients
+    book: float  # part of the requests of the class `book`
+    cancel: float  # part whose client leaves early
+    memory_mb: int
+    sockets: int
+    crowd: int  # idle clients
+    troubles: tuple[Trouble, ...]
+    stops: tuple[Stop, ...]  # also after SIGTERM
+    reloads: tuple[Reload, ...]
+    second_sigterm_after: float | None  # s
+    resting: tuple[float, ...]  # s after SIGTERM at which kept connections that rested are used
+
+
+def draw_play(seed: int, seconds: float) -> Play:
+    """The play of a seed, with so many seconds of traffic."""
+    rng = random.Random(f"soak:{seed}")
+    classes = tuple(
+        JobClassDraw(
+            name,
+            rng.choice((0.8, 1.5, LONGEST_DEADLINE_S)),
+            rng.choice(("retryable", "dedup", "fragile")),
+            rng.choice(("all", "zone")),
+        )
+        for name in ("quote", "book")
+    )
+    workers = rng.randint(2, 6)
+    kinds = rng.sample(KINDS, rng.randint(1, len(KINDS)))
+    signals = [rng.uniform(0.5, seconds + 2.5) for _ in range(rng.randint(2, 8))]
+    bursts = [rng.uniform(0.5, seconds + 1.0) for _ in range(rng.randint(1, 3))]
+    crowded = rng.random() < 0.3
+    return Play(
+        seed,
+        seconds,
+        rng.choice((40.0, 80.0, 150.0)),
+        classes,
+        tuple(rng.choice((1, 1, 2)) for _ in range(workers)),
+        rng.choice((0.0, 0.0, 0.05, 0.2)),
+        rng.choice((2, 4, 16)),
+        {kind: rng.uniform(0.2, 1.0) for kind in kinds},
+        rng.uniform(0.2, 0.8),
+        rng.choice((0.0, 0.05, 0.2)),
+        rng.choice((64, 96, 192)),
+        256 if crowded else 1024,
+        rng.randint(100, 200) if crowded else 0,
+        tuple(_trouble(rng, seconds, workers) for _ in range(rng.randint(1, 6))),
+        tuple(Stop(at, rng.uniform(0.005, 0.15)) for at in sorted(signals)),
+        tuple(
+            Reload(at + place * rng.uniform(0.0, 0.03), rng.random() < 0.5)
+            for at in sorted(bursts)
+            for place in range(rng.randint(1, 4))
+        ),
+        rng.choice((None, 0.0, 0.05, 1.0, 2.1)),
+        tuple(rng.uniform(1.8, 2.6) for _ in range(12)),
+    )
+
+
+def _trouble(rng: random.Random, seconds: float, workers: int) -> Trouble:
+    kind = rng.choice(("roll", "goaway", "crash", "cut", "cut", "slow", "hang", "discovery"))
+    return Trouble(rng.uniform(0.3, seconds), kind, rng.randrange(workers), rng.uniform(0.3, 2.0))
--- a/pipitshed/testbed/clients.py
+++ b/pipitshed/testbed/clients.py
@@ -47,6 +47,7 @@
     detail: str = ""
     untaken: bool = False  # the connection was refused, or a kept one had been closed before the request
     kept: bool = False  # it went out on a kept connection
+    slack: float = SLACK  # s beyond its patience for which its client listens on
 
 
 def draw(
@@ -173,7 +174,7 @@
         writer.write(f"POST /api HTTP/1.1\r\n{lines}\r\n".encode() + data)
         kept = False
         try:
-            async with asyncio.timeout(asked.leave_after or asked.patience + SLACK):
+            async with asyncio.timeout(asked.leave_after or asked.patience + asked.slack):
                 top = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
                 length = int(top.partition("content-length:")[2].split("\r\n")[0] or 0)
                 result = await reader.readexactly(length)
@@ -239,17 +240,18 @@
         try:
             await self._ask(asked)
         except (OSError, asyncio.IncompleteReadError) as error:
-            asked.outcome, asked.detail, asked.ended = "unanswered", repr(error), monotonic()
+            # Before the job was written: its connection did not come up.
+            asked.outcome, asked.detail, asked.untaken = "unanswered", repr(error), True
+            asked.sent = asked.ended = monotonic()
 
     async def _ask(self, asked: Asked) -> None:
         link = await self._link()
         asked.sent = monotonic()
         function, unique = _FUNCTIONS[asked.kind, asked.job_class], b"k-" + asked.token.encode()
         link.writer.write(pack(Kind.SUBMIT_JOB, function, unique, body(asked), magic=REQUEST))
-        kept = False
+        kept, handle = False, b""
         try:
-            async with asyncio.timeout(asked.leave_after or asked.patience + SLACK):
-                handle = b""
+            async with asyncio.timeout(asked.leave_after or asked.patience + asked.slack):
                 while not asked.outcome:
                     kind, arguments = await link.packet()
                     if kind is Kind.JOB_CREATED:
@@ -280,6 +282,7 @@
             asked.outcome = "withdrawn" if asked.leave_after else "unanswered"
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             asked.outcome, asked.detail = "unanswered", repr(error)
+            asked.untaken = not handle
         asked.ended = monotonic()
         if kept:
             self._free.append(link)
--- a/pipitshed/testbed/program.py
+++ b/pipitshed/testbed/program.py
@@ -10,7 +10,7 @@
 import signal
 import sys
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -109,6 +109,7 @@
     http: int
     gearman: int
     log: list[str]
+    config: Path = Path()  # the file that SIGHUP reads again
 
     def cpu(self) -> float:
         """Seconds of CPU that the process has used so far, by the kernel's count."""
@@ -132,11 +133,25 @@
     root: Path | None = None,
     known: list[dict[str, object]] | None = None,
     plan: bytes = b"",
+    adjust: Callable[[dict[str, Any]], None] | None = None,
 ) -> AsyncIterator[Running]:
-    """One scheduler; it ends with the block. `root`: a checkout other than this one."""
+    """One scheduler; it ends with the block.
+
+    Args:
+        discovery_port: Of the stand-in discovery.
+        http: Where it listens for HTTP clients.
+        gearman: Where it listens for Gearman clients; nowhere if empty.
+        translate: Whether messages are translated.
+        root: A checkout other than this one.
+        known: The rows that its configuration holds.
+        plan: A placement plan.
+        adjust: Changes the configuration before it is written.
+    """
     with tempfile.TemporaryDirectory(prefix="pipitshed-lab-") as folder:
         path = Path(folder)
         made = configuration(http, f"127.0.0.1:{discovery_port}", known)
+        if adjust is not None:
+            adjust(made)
         (path / "config.json").write_text(json.dumps(made))
         text = front_text(gearman)
         plain = text.partition("[translation]")[0].replace(", form = 0", "").replace(", form = 1", "")
@@ -157,7 +172,7 @@
             start_new_session=True,
             cwd=root,
         )
-        running = Running(process, 0, 0, [])
+        running = Running(process, 0, 0, [], path / "config.json")
         assert process.stdout is not None
         try:
             ports: list[int] = []
