--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -13,6 +13,7 @@
 
 from benchmarks.soak.drawing import LONGEST_DEADLINE_S, Play, Reload, Stop, Trouble
 from benchmarks.soak.rules import Break, Records, breaks
+from pipitshed.server.descriptors import DescriptorBudget
 from pipitshed.testbed.clients import Asked, GearmanClients, HttpClients, draw
 from pipitshed.testbed.fleet.standins import Fleet
 from pipitshed.testbed.planner import Behaviour
@@ -23,6 +24,7 @@
 LISTEN_ON_S = 0.7  # for which a client listens beyond its patience, to see a late answer
 LOOK_EVERY_S = 0.01
 DISTURBED_S = 0.1  # a hold-up of the stand-ins from which a play counts as disturbed
+RECENT_REQUESTS = 2000  # of which some may be under way
 SLOW_FACTOR, HANG_FACTOR = 8.0, 500.0
 
 
@@ -61,6 +63,8 @@
         self.worst_holdup_s = 0.0
         self._rng = random.Random(f"traffic:{play.seed}")
         self._http, self._gearman = HttpClients(running.http), GearmanClients(running.gearman)
+        budget = DescriptorBudget(play.sockets)
+        self._connection_limits = {"http": budget.http_client_count, "gearman": budget.gearman_peer_count}
         self._asking: set[asyncio.Task[None]] = set()
         self._troubles = asyncio.Lock()
         self._began = monotonic()
@@ -125,11 +129,18 @@
         resting_s = [at for at in play.resting if self.sigterm_at < monotonic() < self.sigterm_at + at]
         if monotonic() > self.sigterm_at and len(resting_s) == len(play.resting):
             return  # nobody asks for a while, so that kept connections rest
+        clients = "http" if is_http else "gearman"
+        if self._busy(clients) >= self._connection_limits[clients]:
+            return  # the door turns further connections away, unread
         self.asked.append(one)
         task = asyncio.create_task((self._http if is_http else self._gearman).ask(one))
         self._asking.add(task)
         task.add_done_callback(self._asking.discard)
 
+    def _busy(self, clients: str) -> int:
+        """How many requests of these clients are under way."""
+        return sum(one.kind.startswith(clients) and not one.ended for one in self.asked[-RECENT_REQUESTS:])
+
     # ---- troubles and signals
 
     async def _trouble(self, trouble: Trouble) -> None:
--- a/pipitshed/testbed/planner.py
+++ b/pipitshed/testbed/planner.py
@@ -96,6 +96,13 @@
         self._rng = random.Random(seed)
         self._slots = asyncio.Semaphore(behaviour.slots)
 
+    def _known_result(self, place: tuple[str, str], came: float) -> asyncio.Future[dict[str, Any]] | None:
+        """The result of a run of this key in its zone, which may be under way; None where none counts."""
+        began, result = self.record.keys.get(place, (float("-inf"), None))
+        if result is None or came - began >= DEDUP_WINDOW or result.cancelled():
+            return None
+        return result
+
     async def work(self, job: Job) -> AsyncIterator[tuple[str, Any]]:
         """(state, what goes with it) as the job goes on; the last one ends it."""
         run = Run(
@@ -119,12 +126,14 @@
         run.how = "cancelled"  # unless it comes to another end
         try:
             place = (self.zone, job.key)
-            known = self.record.keys.get(place) if job.key else None
-            if known is not None and run.came - known[0] < DEDUP_WINDOW and not known[1].cancelled():
-                run.how = "repeat"
+            # Where the attempt that ran is given up, and so comes to nothing, this one runs in its place.
+            while job.key and (known := self._known_result(place, run.came)) is not None:
                 yield "started", None
-                yield "done", await asyncio.shield(known[1])
-                return
+                await asyncio.wait([known])
+                if not known.cancelled():
+                    run.how = "repeat"
+                    yield "done", known.result()
+                    return
             result: asyncio.Future[dict[str, Any]] = asyncio.get_running_loop().create_future()
             if job.key:
                 self.record.keys[place] = (run.came, result)
