HTTP responses' bytes and the testbed's front file in functions of their own

Change: frontends/http/responses.py makes a response's bytes; testbed/program.py writes the front file in a function of its own.

--- a/pipitshed/frontends/http/connection.py
+++ b/pipitshed/frontends/http/connection.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from pipitshed.frontends.http.request_parser import SINGLE_VALUE_HEADERS, MalformedError
+from pipitshed.frontends.http.responses import response
 from pipitshed.protocols.buffer import Buffer, TooLongError
 from pipitshed.protocols.http import BODY_LIMIT, HEAD_LIMIT
 from pipitshed.proxy.request import Request, RequestContext, TranslationFailure
@@ -30,20 +31,6 @@
 _HEADER_FRAMING_BYTES = len(": \r\n")
 _IN_BODY = -1  # as the size of a head: the head is complete
 
-_REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    408: "Request Timeout",
-    409: "Conflict",
-    413: "Content Too Large",
-    422: "Unprocessable Content",
-    431: "Request Header Fields Too Large",
-    500: "Internal Server Error",
-    503: "Service Unavailable",
-}
-
 _encode_json = msgspec.json.encode
 
 
@@ -318,12 +305,7 @@
             return
         self._frontend.used(self)
         is_final = (self._is_last or self._frontend.draining) and not self._queue
-        close = "Connection: close\r\n" if is_final else ""
-        transport.write(
-            f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}\r\n"
-            f"Content-Length: {len(body)}\r\n{extra_headers}{close}\r\n".encode()
-            + body
-        )
+        transport.write(response(status, body, extra_headers, is_final))
         if is_final:
             self.close()
 
--- /dev/null
+++ b/pipitshed/frontends/http/responses.py
@@ -0,0 +1,34 @@
+"""The bytes of responses to HTTP clients."""
+
+from __future__ import annotations
+
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
+
+
+def response(status: int, body: bytes, extra_headers: str, is_final: bool) -> bytes:
+    """One response.
+
+    Args:
+        status: Its status.
+        body: Its body.
+        extra_headers: Whole lines, each with its end.
+        is_final: Whether it announces the close of its connection.
+    """
+    close = "Connection: close\r\n" if is_final else ""
+    head = (
+        f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}\r\n"
+        f"Content-Length: {len(body)}\r\n{extra_headers}{close}\r\n"
+    )
+    return head.encode() + body
--- a/pipitshed/testbed/program.py
+++ b/pipitshed/testbed/program.py
@@ -153,12 +153,7 @@
         if adjust is not None:
             adjust(made)
         (path / "config.json").write_text(json.dumps(made))
-        text = front_text(gearman)
-        plain = text.partition("[translation]")[0].replace(", form = 0", "").replace(", form = 1", "")
-        following = '\n[placement]\nplan = "plan.json"\n' if plan else ""
-        (path / "plan.json").write_bytes(plan)
-        (path / "front.toml").write_text((text if translate else plain) + following)
-        (path / "translation.toml").write_text((TEMPLATES / "translation.toml").read_text())
+        _write_front(path, gearman, translate, plan)
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -195,6 +190,18 @@
                 await process.wait()
 
 
+def _write_front(folder: Path, gearman: str, translate: bool, plan: bytes) -> None:
+    """Write the front file, and the files that it names."""
+    text = front_text(gearman)
+    if not translate:
+        text = text.partition("[translation]")[0].replace(", form = 0", "").replace(", form = 1", "")
+    if plan:
+        text += '\n[placement]\nplan = "plan.json"\n'
+        (folder / "plan.json").write_bytes(plan)
+    (folder / "front.toml").write_text(text)
+    (folder / "translation.toml").write_text((TEMPLATES / "translation.toml").read_text())
+
+
 async def _read(stream: asyncio.StreamReader, log: list[str]) -> None:
     async for line in stream:
         log.append(line.decode().rstrip())
