--- a/benchmarks/soak/rules.py
+++ b/benchmarks/soak/rules.py
@@ -13,6 +13,7 @@
 from pipitshed.testbed.planner import Run
 
 AFTER_END_S = 0.1  # from a client's end, or its answer, after which no attempt begins
+SHOWN_STOPS_S = 2.0  # around a request: the program's stops that are shown with it
 DOORS_OPEN_S = 0.2  # after SIGTERM, for which new connections must still be taken
 ACCOUNT_RULES = ("answered_twice", "wrong_result", "served_unrun", "unfit_but_ran", "ran_unasked")
 TIMED_ACCOUNT_RULES = ("two_outstanding", "after_drain")
@@ -88,6 +89,8 @@
     told = (
         f"{describe(asked, runs)}\n  SIGTERM came {records.sigterm_at - asked.sent:.3f} s after it was sent"
     )
+    near = [stop for stop in records.stops if abs(stop[0] - asked.sent) < SHOWN_STOPS_S]
+    told += "".join(f"\n  stood still {a - asked.sent:.3f} to {b - asked.sent:.3f}" for a, b in near)
     if asked.outcome == "unanswered":
         # A close may cross a request that was not read; a closed door refuses one. Neither was taken.
         closing = asked.ended > records.sigterm_at
--- a/tests/server/test_upgrade.py
+++ b/tests/server/test_upgrade.py
@@ -72,18 +72,25 @@
 async def test_a_connection_in_use_at_the_end_is_told_of_its_close() -> None:
     """Guards against a close without notice between two requests of a client that asks again and again: the
     next one crossed it, and the client had to send it once more elsewhere."""
-    async with Planner("p1") as planner, program(planner) as running:
-        client = await HttpClient.to(running.port)
-        running.process.send_signal(signal.SIGTERM)
+
+    async def ask_on(client: HttpClient, name: str) -> None:
         headers: dict[str, str] = {}
         count = 0
         while headers.get("connection") != "close":
             count += 1
-            client.ask(f"n{count}")
+            client.ask(f"{name}{count}")
             status, headers, _ = await client.answer()
             assert status == 200
             await asyncio.sleep(0.12)  # the client's own pace
         assert await client.reader.read() == b""
+
+    async with Planner("p1") as planner, program(planner) as running:
+        clients = []
+        for place in range(6):  # at paces that are spread, so that no moment suits all of them
+            clients.append(asyncio.create_task(ask_on(await HttpClient.to(running.port), f"c{place}-")))
+            await asyncio.sleep(0.02)
+        running.process.send_signal(signal.SIGTERM)
+        await asyncio.gather(*clients)
         assert await running.process.wait() == 0
 
 
