--- a/pipitshed/config/tenant_registry.py
+++ b/pipitshed/config/tenant_registry.py
@@ -1,6 +1,6 @@
 """Numbers for the tenants, which stay as they are while files add, reorder and drop tenants.
 
-The dispatcher counts a tenant's jobs by its number, and Gearman's functions keep the number of the start.
+The dispatcher counts a tenant's jobs by its number, and requests and Gearman's functions carry it.
 """
 
 from __future__ import annotations
