--- a/pipitshed/scheduling/outlier_ejection.py
+++ b/pipitshed/scheduling/outlier_ejection.py
@@ -19,7 +19,7 @@
 
 def is_ejected(worker: Worker, now_ms: float) -> bool:
     """Whether the worker is passed over at present."""
-    return max(worker.ejected_until_ms, worker.error_ejected_until_ms) > now_ms
+    return worker.ejected_until_ms > now_ms or worker.error_ejected_until_ms > now_ms
 
 
 def is_slow(worker: Worker, mean_ms_per_work_unit: float, now_ms: float) -> bool:
