--- a/review/standins.py
+++ b/review/standins.py
@@ -352,6 +352,13 @@
         if instance not in pointers:
             pointers.append(instance)
 
+    def remove_planner(self, name: str) -> None:
+        """Remove the records of one planner."""
+        instance, host = f"{name}.{self._service}", f"{name}.depots.example."
+        for key in ((instance, "SRV"), (instance, "TXT"), (host, "A")):
+            del self._records[key]
+        self._records[self._service, "PTR"].remove(instance)
+
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Answer one query from the records as they are now, after the delay."""
         import dns.message
