--- a/review/standins.py
+++ b/review/standins.py
@@ -120,9 +120,10 @@
 class Scheduler:
     """The project's program, started by the `run` line of the deploy file as the platform does."""
 
-    def __init__(self, folder: Path, record: Record) -> None:
+    def __init__(self, folder: Path, record: Record, limits: dict[str, float] | None = None) -> None:
         self._folder = folder
         self._record = record
+        self._limits = limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
         self.port = free_port()
         self.config_path = folder / "config.json"
         self._process: asyncio.subprocess.Process | None = None
@@ -134,7 +135,7 @@
             "listen": f"127.0.0.1:{self.port}",
             "discovery": discovery,
             "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": self._limits,
             "known": {"generation": 1, "reset": True, "instances": known},
             "settings": settings,
         }
@@ -182,6 +183,17 @@
         assert self._process is not None
         self._process.send_signal(signal.SIGHUP)
 
+    @property
+    def pid(self) -> int:
+        """The id of the process."""
+        assert self._process is not None
+        return self._process.pid
+
+    def kill(self) -> None:
+        """Send SIGKILL."""
+        assert self._process is not None
+        self._process.kill()
+
     @property
     def has_ended(self) -> bool:
         """Whether the program has ended by itself."""
@@ -226,6 +238,19 @@
         self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def row(self) -> dict[str, Any]:
+        """The planner's row in discovery's list."""
+        return {
+            "instanceId": f"s-{self.name}",
+            "hostPort": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "machineType": "fast",
+            "cell": 0,
+            "lifecycle": "ready",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
+
     async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(*ENDED, ValueError):
             while await self._serve(reader, writer):
