Review case 3: one client's requests at once take the scheduler over its memory limit

Cause: each connection keeps nine requests with their bodies, and no bound covers all of them or follows memory_mb.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,164 +1,160 @@
-"""While the workers are slow, one Gearman client gets the result of another client's job."""
+"""One client that sends hundreds of requests at once takes the scheduler over its memory limit."""
 
 from __future__ import annotations
 
 import asyncio
-import copy
+import contextlib
 import sys
+from collections.abc import Awaitable
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from standins import (
-    CAN_DO,
-    GRAB_JOB_UNIQ,
-    JOB_ASSIGN_UNIQ,
-    JOB_CREATED,
-    NO_JOB,
-    NOOP,
-    PRE_SLEEP,
+    ENDED,
     SETTINGS,
-    SUBMIT_JOB,
     TROUBLE,
-    WORK_COMPLETE,
-    WORK_FAIL,
     CouldNotRunError,
     Discovery,
-    GearmanPeer,
+    HttpPlanner,
     Record,
     Scheduler,
-    free_port,
+    post,
+    read_http,
     run_case,
 )
 
-WORKERS = 4
-RUNNING_TIME_S = 0.35  # the site: 220 to 430 ms on average
-SLOWER = 2.8  # the site: 1.3 to 3 times
-SLOW_FROM_S, SLOW_FOR_S = 6.0, 11.0  # the site: 3.9 to 12 s
-LENGTH_S = 24.0
-INTERVAL_S = 1.2  # from one quote of a tool to its next one
-# Each tool numbers its own quotes from 1 on; the second one sends each 0.6 s after the first.
-TOOLS = {"quote_andes": ("andes-retail", 0.0), "quote_costa": ("costa-carga", 0.6)}
-
-
-class Fleet:
-    """The Gearman workers; all of them are slower while `factor` is above 1."""
-
-    def __init__(self, port: int, record: Record) -> None:
-        self._port, self._record = port, record
-        self.factor = 1.0
-        self.runs: list[str] = []  # the data of each job that was run
-
-    async def work(self, name: str) -> None:
-        """Run the jobs of both functions."""
-        peer = await GearmanPeer.connect(self._port)
-        for function in TOOLS:
-            peer.send(CAN_DO, function.encode())
-        while True:
-            peer.send(GRAB_JOB_UNIQ)
-            kind, arguments = await peer.receive()
-            while kind == NOOP:
-                kind, arguments = await peer.receive()
-            if kind == NO_JOB:
-                peer.send(PRE_SLEEP)
-                await peer.receive()
-                continue
-            if kind != JOB_ASSIGN_UNIQ:
-                raise CouldNotRunError(f"worker {name} got packet {kind}")
-            handle, function, unique, data = arguments.split(b"\0", 3)
-            self.runs.append(data.decode())
-            self._record(f"worker {name}: {function.decode()} runs {data.decode()!r} ({unique.decode()})")
-            await asyncio.sleep(RUNNING_TIME_S * self.factor)
-            peer.send(WORK_COMPLETE, handle, b"offer for " + data)
-
-
-class Tool:
-    """A depot's dispatch tool: it asks for a quote at fixed times, and keeps the answers."""
-
-    def __init__(self, port: int, function: str, record: Record) -> None:
-        self._port, self._function, self._record = port, function, record
-        self.foreign: list[str] = []
-        self.served = 0
-
-    async def quote(self, number: int) -> None:
-        """Submit one job, and compare its result with what it asked for."""
-        data = f"{self._function} load {number}"
-        client = await GearmanPeer.connect(self._port)
-        client.send(SUBMIT_JOB, self._function.encode(), str(number).encode(), data.encode())
-        self._record(f"client: submits {data!r} (unique {number})")
-        kind, arguments = await client.receive()
-        if kind != JOB_CREATED:
-            raise CouldNotRunError(f"SUBMIT_JOB was answered by packet {kind}")
-        while kind not in (WORK_COMPLETE, WORK_FAIL):
-            kind, arguments = await client.receive()
-        client.writer.close()
-        result = arguments.partition(b"\0")[2].decode()
-        self._record(f"client: {data!r} answered {'result' if kind == WORK_COMPLETE else 'fail'} {result!r}")
-        if kind == WORK_COMPLETE:
-            self.served += 1
-            if result != f"offer for {data}":
-                self.foreign.append(f"{data!r} got {result!r}")
-
-
-async def play(fleet: Fleet, tools: list[Tool], record: Record) -> None:
-    """Send the quotes of all tools, with the slow time in between."""
-    loop = asyncio.get_running_loop()
-    if TROUBLE:
-        loop.call_later(SLOW_FROM_S, setattr, fleet, "factor", SLOWER)
-        loop.call_later(SLOW_FROM_S + SLOW_FOR_S, setattr, fleet, "factor", 1.0)
-        record(f"from {SLOW_FROM_S} s on, the workers are {SLOWER} times slower for {SLOW_FOR_S} s")
-
-    async def send(tool: Tool, offset_s: float) -> None:
-        await asyncio.sleep(offset_s)
-        quotes = []
-        for number in range(1, int(LENGTH_S / INTERVAL_S) + 1):
-            quotes.append(asyncio.create_task(tool.quote(number)))
-            await asyncio.sleep(INTERVAL_S)
-        await asyncio.gather(*quotes)
-
-    offsets = [offset_s for _, offset_s in TOOLS.values()]
-    await asyncio.gather(*(send(tool, offset_s) for tool, offset_s in zip(tools, offsets, strict=True)))
+MEMORY_MB, SOCKETS = 96, 512  # half of 192 MB and 1,024
+PLANNERS, SLOTS, QUEUE = 10, 4, 28
+RUNNING_TIME_S = 0.3
+USUAL_CLIENTS, USUAL_INTERVAL_S, USUAL_FOR_S = 6, 0.5, 14.0
+CONNECTIONS, REQUESTS_EACH = 110, 9  # 990 requests; 110 is under a third of the descriptors
+BODY_BYTES = 64 * 1024
+QUERY_BYTES = 15_000
+BAD_AFTER_S, BAD_FOR_S = 4.0, 8.0
+
+
+class SmallPlanner(HttpPlanner):
+    """A planner with some slots and a queue; it turns away what finds no place."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, "lima-norte", lambda *_: [])
+        self._held = 0
+        self._slots = asyncio.Semaphore(SLOTS)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        line, headers, _ = await read_http(reader)
+        if not line.startswith("POST ") or self._held >= SLOTS + QUEUE:
+            writer.write(b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+            return True
+        self._held += 1
+        try:
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            async with self._slots:
+                for state, delay_s in (("started", 0.0), ("done", RUNNING_TIME_S)):
+                    await asyncio.sleep(delay_s)
+                    text = f'{{"id":"{headers["x-request-id"]}","state":"{state}","result":"plan"}}\n'
+                    writer.write(b"%x\r\n%s\r\n" % (len(text), text.encode()))
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        finally:
+            self._held -= 1
+        return True
+
+
+async def bad_connection(port: int, number: int) -> None:
+    """Send the requests of one connection at once, and read whatever comes."""
+    with contextlib.suppress(*ENDED, TimeoutError):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for index in range(REQUESTS_EACH):
+            head = (
+                f"POST /api?q={'x' * QUERY_BYTES} HTTP/1.1\r\nHost: service.internal\r\n"
+                f"X-Request-Id: bad-{number}-{index}\r\nX-Class: quote\r\nX-Tenant: andes-retail\r\n"
+                f"X-Deadline: 5.000\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+            )
+            writer.write(head.encode() + b"p" * BODY_BYTES)
+        async with asyncio.timeout(BAD_FOR_S):
+            while await reader.read(65536):
+                pass
+        writer.close()
+
+
+class Platform:
+    """The platform's memory limit: it kills the scheduler when its resident memory exceeds the limit."""
+
+    def __init__(self, scheduler: Scheduler, record: Record) -> None:
+        self._scheduler, self._record = scheduler, record
+        self.peak_mib = 0.0
+        self.killed = False
+
+    async def watch(self) -> None:
+        """Look at the memory 50 times a second."""
+        status = Path(f"/proc/{self._scheduler.pid}/status")
+        while not self.killed:
+            line = next(text for text in status.read_text().splitlines() if text.startswith("VmRSS:"))
+            memory_mib = int(line.split()[1]) / 1024
+            self.peak_mib = max(self.peak_mib, memory_mib)
+            if memory_mib > MEMORY_MB:
+                self._record(f"platform: {memory_mib:.0f} MiB, over {MEMORY_MB} MB: kills the scheduler")
+                self.killed = True
+                self._scheduler.kill()
+            await asyncio.sleep(0.02)
+
+
+async def usual_client(
+    port: int, platform: Platform, number: int, record: Record, counts: dict[str, int]
+) -> None:
+    """Hand in one quote after another, until the scheduler has been killed."""
+    for index in range(int(USUAL_FOR_S / USUAL_INTERVAL_S)):
+        if platform.killed:
+            return
+        job = f"usual-{number}-{index}"
+        try:
+            status, _ = await post(port, job, "quote", 5.0, b"two pallets")
+            answer = str(status)
+        except (*ENDED, OSError, TimeoutError) as error:
+            answer = f"none ({type(error).__name__})"
+        counts[answer] = counts.get(answer, 0) + 1
+        record(f"client: {job} answered {answer}")
+        await asyncio.sleep(USUAL_INTERVAL_S)
 
 
 async def case(folder: Path, record: Record) -> bool:
-    """Start, send the quotes, and compare each result with its job."""
-    gearman_port = free_port()
-    functions = "".join(
-        f'{name} = {{ class = "quote", tenant = "{tenant}" }}\n' for name, (tenant, _) in TOOLS.items()
-    )
-    front = (
-        f'[gearman]\nlisten = ["127.0.0.1:{gearman_port}"]\n[gearman.functions]\n{functions}'
-        '[gearman.workers]\nzone = "lima-norte"\n'
-    )
-    settings = copy.deepcopy(SETTINGS)
-    settings["tenants"] = [
-        {"name": tenant, "share": 0.5, "allowancePerS": 16.0} for tenant, _ in TOOLS.values()
-    ]
-    discovery = Discovery([])
+    """Start, let the usual clients work, send the requests of the bad client, and watch the memory."""
+    planners = [SmallPlanner(f"p{number}") for number in range(PLANNERS)]
+    for planner in planners:
+        await planner.start()
+    rows = [planner.row() for planner in planners]
+    discovery = Discovery(rows)
     await discovery.start()
-    scheduler = Scheduler(folder, record)
-    scheduler.write_config(settings, discovery.address, [])
-    fleet = Fleet(gearman_port, record)
-    tools = [Tool(gearman_port, function, record) for function in TOOLS]
-    workers: list[asyncio.Task[None]] = []
+    scheduler = Scheduler(folder, record, {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS})
+    scheduler.write_config(SETTINGS, discovery.address, rows)
+    counts: dict[str, int] = {}
     try:
-        await scheduler.start(discovery.address, front)
-        workers = [asyncio.create_task(fleet.work(f"w{number}")) for number in range(WORKERS)]
-        await asyncio.sleep(1.0)
-        await play(fleet, tools, record)
-        if scheduler.has_ended:
+        await scheduler.start(discovery.address)
+        platform = Platform(scheduler, record)
+        watch = asyncio.create_task(platform.watch())
+        tasks: list[Awaitable[None]] = [
+            usual_client(scheduler.port, platform, number, record, counts) for number in range(USUAL_CLIENTS)
+        ]
+
+        async def flood() -> None:
+            await asyncio.sleep(BAD_AFTER_S)
+            record(f"bad client: {CONNECTIONS} connections, {REQUESTS_EACH} requests on each, at once")
+            await asyncio.gather(*(bad_connection(scheduler.port, n) for n in range(CONNECTIONS)))
+            record("bad client: has gone")
+
+        if TROUBLE:
+            tasks.append(flood())
+        await asyncio.gather(*tasks)
+        watch.cancel()
+        if scheduler.has_ended and not platform.killed:
             raise CouldNotRunError(f"the scheduler ended: {scheduler.log()}")
     finally:
-        for worker in workers:
-            worker.cancel()
         await scheduler.stop()
         record(f"the scheduler's log:\n{scheduler.log()}")
-    foreign = [text for tool in tools for text in tool.foreign]
-    record(f"served: {[tool.served for tool in tools]}, runs: {len(fleet.runs)}")
-    record(f"results of another job: {len(foreign)}: {foreign or 'none'}")
-    if not all(tool.served for tool in tools):
-        raise CouldNotRunError("a tool had no job served")
-    return not foreign
+    record(f"peak memory {platform.peak_mib:.1f} MiB of {MEMORY_MB}; answers to usual clients: {counts}")
+    return not platform.killed
 
 
 if __name__ == "__main__":
