--- a/review/standins.py
+++ b/review/standins.py
@@ -407,10 +407,18 @@
     """Run a case: `body` returns whether the rule held; return the exit code of the script."""
     record = Record(Path(case_file).resolve().parent / "record.txt")
     record(f"TROUBLE={int(TROUBLE)}")
+
+    async def guarded(folder: Path) -> bool:
+        # SIGTERM ends the case in order, so that it ends the processes that it started.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(body(folder, record), CASE_LIMIT_S)
+
     with tempfile.TemporaryDirectory() as folder:
         try:
-            held = asyncio.run(asyncio.wait_for(body(Path(folder), record), CASE_LIMIT_S))
-        except Exception as error:
+            held = asyncio.run(guarded(Path(folder)))
+        except (Exception, asyncio.CancelledError) as error:
             record(f"the case could not run: {type(error).__name__}: {error}")
             print(f"could not run: {type(error).__name__}: {error}")
             return COULD_NOT_RUN
