--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,120 +1,148 @@
-"""A booking runs in two data centres after the DNS-SD records of a planner have moved it to the other one."""
+"""A booking from a Gearman client runs twice after new settings have made its class unsafe to repeat."""
 
 from __future__ import annotations
 
 import asyncio
+import copy
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from standins import (
+    CAN_DO,
+    GRAB_JOB_UNIQ,
+    JOB_ASSIGN_UNIQ,
+    JOB_CREATED,
+    NO_JOB,
+    NOOP,
+    PRE_SLEEP,
     SETTINGS,
+    SUBMIT_JOB,
     TROUBLE,
+    WORK_COMPLETE,
+    WORK_FAIL,
     CouldNotRunError,
-    HttpPlanner,
-    NameServer,
+    Discovery,
+    GearmanPeer,
     Record,
     Scheduler,
-    post,
+    free_port,
     run_case,
 )
 
-SERVICE = "_planner._tcp.depots.example."
-TTL_S = 5
-DRAINING_S = 6.0
-ABSENT_S = 15.0
-WARM_S = 12.0  # more than the settings' 8.8 s
-JOBS = 40
-JOB_INTERVAL_S = 0.25
-DEADLINE_S = 15.0
-
-
-class DataCentres:
-    """What the planners of both data centres have run; those of one share the keys that they have seen."""
-
-    def __init__(self, record: Record) -> None:
-        self._record = record
-        self.runs: dict[str, list[str]] = {}  # by key: the zones in which the job began to run, in order
-        self._seen: set[tuple[str, str]] = set()  # zone and key
-        self.loses_first_run = False
-
-    def act(self, planner: HttpPlanner, headers: dict[str, str], _body: bytes) -> object:
-        """Run a job, drop a repeat within the data centre, or lose the job in the middle of its first run."""
-        key = headers["idempotency-key"]
-        if (planner.zone, key) in self._seen:
-            self._record(f"planner {planner.name} ({planner.zone}): drops the repeat of {key}")
-            return [(0.0, {"state": "done", "result": f"booked {key}"})]
-        self._seen.add((planner.zone, key))
-        zones = self.runs.setdefault(key, [])
-        zones.append(planner.zone)
-        self._record(f"planner {planner.name} ({planner.zone}): runs {key}")
-        if self.loses_first_run and len(zones) == 1:
-            return [(0.1, {"state": "lost"})]
-        return [(0.1, {"state": "done", "result": f"booked {key}"})]
-
-
-async def book(scheduler: Scheduler, key: str, record: Record) -> None:
-    """Hand in one booking, and record its answer."""
-    status, body = await post(scheduler.port, f"id-{key}", "book", DEADLINE_S, b"four pallets", key)
-    record(f"client: {key} answered {status} {body!r}")
-
-
-async def move(server: NameServer, planner: HttpPlanner, record: Record) -> None:
-    """Move planner p3 from lima-norte to arequipa: it drains, leaves, and starts there under its name."""
-    server.set_planner("p3", planner.port, zone="lima-norte", kind="fast", state="draining")
-    record("records: p3 drains")
-    await asyncio.sleep(DRAINING_S)
-    server.remove_planner("p3")
-    record("records: p3 is removed")
-    await asyncio.sleep(ABSENT_S)
-    started = str(int(time.time() * 1000))
-    server.set_planner("p3", planner.port, zone="arequipa", kind="fast", started=started)
-    record("records: p3 is added, zone=arequipa")
-    await asyncio.sleep(WARM_S)
+WORKERS = 3
+JOBS = 12
+RUNNING_TIME_S = 0.2
+RECONNECT_S = 0.3
+AFTER_SIGHUP_S = 3.0  # the pages allow a new class to be used after 1.2 s
+ANSWER_S = 15.5  # the class's deadline, and half a second
+
+
+class Fleet:
+    """The Gearman workers. Each job that says so loses the first worker that runs it, in mid-job."""
+
+    def __init__(self, port: int, record: Record) -> None:
+        self._port, self._record = port, record
+        self.runs: dict[str, list[str]] = {}  # by job: the workers to which it was assigned
+
+    async def work(self, name: str) -> None:
+        """Run jobs, and connect again after each loss of the connection."""
+        while True:
+            try:
+                await self._serve(name)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                self._record(f"worker {name}: disconnected")
+            await asyncio.sleep(RECONNECT_S)
+
+    async def _serve(self, name: str) -> None:
+        peer = await GearmanPeer.connect(self._port)
+        peer.send(CAN_DO, b"book_pallet")
+        while True:
+            peer.send(GRAB_JOB_UNIQ)
+            kind, arguments = await peer.receive()
+            while kind == NOOP:
+                kind, arguments = await peer.receive()
+            if kind == NO_JOB:
+                peer.send(PRE_SLEEP)
+                kind, _ = await peer.receive()
+                continue
+            if kind != JOB_ASSIGN_UNIQ:
+                raise CouldNotRunError(f"worker {name} got packet {kind}")
+            handle, _, unique, data = arguments.split(b"\0", 3)
+            job = data.decode()
+            self.runs.setdefault(job, []).append(name)
+            self._record(f"worker {name}: runs {job} (unique {unique.decode()})")
+            await asyncio.sleep(RUNNING_TIME_S)
+            if job.startswith("crash") and len(self.runs[job]) == 1:
+                self._record(f"worker {name}: disconnects in the middle of {job}")
+                peer.writer.transport.abort()
+                return
+            peer.send(WORK_COMPLETE, handle, b"booked " + data)
+
+
+async def submit(port: int, job: str, record: Record) -> str:
+    """Submit one job as a Gearman client, and return how it was answered."""
+    client = await GearmanPeer.connect(port)
+    client.send(SUBMIT_JOB, b"book_pallet", f"unique-{job}".encode(), job.encode())
+    record(f"client: submits {job}")
+    kind, _ = await client.receive()
+    if kind != JOB_CREATED:
+        raise CouldNotRunError(f"SUBMIT_JOB was answered by packet {kind}")
+    while kind not in (WORK_COMPLETE, WORK_FAIL):
+        kind, arguments = await client.receive()
+    client.writer.close()
+    answer = "WORK_COMPLETE" if kind == WORK_COMPLETE else "WORK_FAIL"
+    record(f"client: {job} answered {answer} {arguments!r}")
+    return answer
 
 
 async def case(folder: Path, record: Record) -> bool:
-    """Start, move a planner, hand in bookings that are lost in mid-run, and look where each has run."""
-    centres = DataCentres(record)
-    zones = {"p1": "lima-norte", "p2": "lima-norte", "p3": "lima-norte", "p4": "arequipa"}
-    planners = {name: HttpPlanner(name, zone, centres.act) for name, zone in zones.items()}
-    moved = HttpPlanner("p3", "arequipa", centres.act)
-    server = NameServer(SERVICE, TTL_S)
-    await server.start()
-    for planner in (*planners.values(), moved):
-        await planner.start()
-    for planner in planners.values():
-        server.set_planner(planner.name, planner.port, zone=planner.zone, kind="fast")
+    """Start, retune, submit the jobs, and count the runs of each."""
+    gearman_port = free_port()
+    front = (
+        f'[gearman]\nlisten = ["127.0.0.1:{gearman_port}"]\n[gearman.functions]\n'
+        'book_pallet = { class = "book", tenant = "andes-retail" }\n'
+        '[gearman.workers]\nzone = "lima-norte"\n'
+    )
+    discovery = Discovery([])
+    await discovery.start()
     scheduler = Scheduler(folder, record)
-    scheduler.write_config(SETTINGS, "", [])
-    front = f'[dns-sd]\nserver = "127.0.0.1:{server.port}"\nservice = "{SERVICE}"\n'
+    scheduler.write_config(SETTINGS, discovery.address, [])
+    fleet = Fleet(gearman_port, record)
+    workers: list[asyncio.Task[None]] = []
     try:
-        await scheduler.start("", front)
-        await asyncio.sleep(2.0)
-        await asyncio.gather(*(book(scheduler, f"before-{number}", record) for number in range(4)))
-        if len(centres.runs) != 4:
-            raise CouldNotRunError("the first bookings did not run")
+        await scheduler.start(discovery.address, front)
+        workers = [asyncio.create_task(fleet.work(f"w{number}")) for number in range(WORKERS)]
+        await asyncio.sleep(1.0)
+        if await submit(gearman_port, "before", record) != "WORK_COMPLETE":
+            raise CouldNotRunError("the first booking was not served")
+        settings = copy.deepcopy(SETTINGS)
         if TROUBLE:
-            await move(server, moved, record)
-        else:
-            await asyncio.sleep(DRAINING_S + ABSENT_S + WARM_S)
-        centres.loses_first_run = True
-        bookings = []
-        for number in range(JOBS):
-            bookings.append(asyncio.create_task(book(scheduler, f"key-{number}", record)))
-            await asyncio.sleep(JOB_INTERVAL_S)
-        await asyncio.gather(*bookings)
+            settings["services"][1]["repeat"] = "fragile"
+            scheduler.write_config(settings, discovery.address, [])
+            record("platform: new settings, `book` is fragile from now on; SIGHUP")
+            scheduler.hang_up()
+            await asyncio.sleep(AFTER_SIGHUP_S)
+            if "settings applied" not in scheduler.log():
+                raise CouldNotRunError(f"the settings were not applied: {scheduler.log()}")
+        jobs = [f"{'crash' if number % 2 else 'plain'}-{number}" for number in range(JOBS)]
+        for job in jobs:
+            await asyncio.wait_for(submit(gearman_port, job, record), ANSWER_S)
+            await asyncio.sleep(RECONNECT_S + 0.2)
         if scheduler.has_ended:
             raise CouldNotRunError(f"the scheduler ended: {scheduler.log()}")
     finally:
+        for worker in workers:
+            worker.cancel()
         await scheduler.stop()
         record(f"the scheduler's log:\n{scheduler.log()}")
-    # Each first run had begun when it was lost, so it may have run; all is over within the window of 25 s.
-    across = {key: zones for key, zones in centres.runs.items() if len(set(zones)) > 1}
-    record(f"bookings that ran in both data centres: {len(across)} of {JOBS}: {across or 'none'}")
-    return not across
+    repeat = settings["services"][1]["repeat"]
+    twice = {job: runs for job, runs in fleet.runs.items() if len(runs) > 1}
+    record(f"class `book` is {repeat}; jobs that ran more than once: {twice or 'none'}")
+    # `dedup` allows repeats within the zone of the first run and its window of 25 s: all workers are in that
+    # zone, and no job lasts longer. `fragile` allows none, as each first run had begun.
+    return repeat != "fragile" or not twice
 
 
 if __name__ == "__main__":
