--- a/pipitshed/frontends/gearman/connection.py
+++ b/pipitshed/frontends/gearman/connection.py
@@ -125,8 +125,8 @@
 
     def _submit(self, submission: _Submission, name: bytes, unique_id: bytes, body: bytes) -> None:
         frontend = self._frontend
-        function = frontend.functions.get(name.decode("latin-1"))
-        if function is None:
+        parameters = frontend.parameters(name.decode("latin-1"))
+        if parameters is None:
             self._write_error(b"ERR_UNKNOWN_FUNCTION", b"no class for this function")
         elif len(body) > BODY_LIMIT_BYTES:
             self._write_error(b"ERR_TOO_LARGE", b"a job holds at most 65536 bytes")
@@ -143,7 +143,7 @@
             frontend.jobs[job.handle] = job
             # Deferred: if the client has already disconnected, its EOF is read before the next iteration, and
             # the job is not started.
-            frontend.loop.call_soon(frontend.submit, job, function, name, body, submission.priority)
+            frontend.loop.call_soon(frontend.submit, job, parameters, name, body, submission.priority)
 
     def _write_error(self, code: bytes, text: bytes) -> None:
         self.write(encode_packet(PacketType.ERROR, code, text))
--- a/pipitshed/frontends/gearman/frontend.py
+++ b/pipitshed/frontends/gearman/frontend.py
@@ -5,7 +5,7 @@
 import asyncio
 import hashlib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from pipitshed.frontends.gearman.connection import GearmanConnection
 from pipitshed.frontends.gearman.job import GearmanJob
@@ -22,13 +22,28 @@
 
 @dataclass(frozen=True, slots=True)
 class GearmanFunction:
-    """The class, tenant and timeout that the settings assign to a Gearman function."""
+    """What the front file assigns to a function; class and tenant by name, as a reload changes their numbers.
+
+    Attributes:
+        client_timeout_ms: How long its clients wait; the deadline of the class may be shorter.
+        form: The version of the message form that its clients use; None without translation.
+    """
+
+    class_name: str
+    tenant_name: str
+    client_timeout_ms: float
+    form: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SubmissionParameters:
+    """The parameters of one job, by the settings in force when it was submitted."""
 
     job_class: int
     tenant: int
     timeout_ms: float
-    tenant_name: str = ""
-    form: int | None = None  # version of the message format that its clients use
+    tenant_name: str
+    form: int | None
 
 
 class GearmanFrontend:
@@ -39,6 +54,8 @@
         forwarder: Forwarder,
         worker_client: GearmanWorkerClient,
         functions: Mapping[str, GearmanFunction],
+        classes: Mapping[str, int],
+        tenants: TenantNumbers,
         loop: asyncio.AbstractEventLoop,
         label: str,
         max_connections: int,
@@ -52,17 +69,32 @@
         self.connections: dict[GearmanConnection, None] = {}
         self.jobs: dict[bytes, GearmanJob] = {}
         self.closing = False  # no further jobs are accepted
-        self._deduplication = DeduplicationTable(forwarder, loop)
+        self._classes = classes  # the numbers of the accepted classes, by name
+        self._tenants = tenants
+        self._deduplication = DeduplicationTable(forwarder, worker_client.class_names, loop)
         self._max_connections = max_connections
         self._label = label.encode("latin-1", "replace")  # makes handles unique across restarts
         self._handle_count = 0
 
-    def apply_tenants(self, tenants: TenantNumbers) -> None:
-        """Replace the tenant numbers of the functions; they apply to jobs submitted from now on."""
-        self.functions = {
-            name: replace(function, tenant=tenants.number(function.tenant_name))
-            for name, function in self.functions.items()
-        }
+    def apply_settings(self, classes: Mapping[str, int], tenants: TenantNumbers) -> None:
+        """Replace the numbers of classes and tenants; they apply to jobs submitted from now on."""
+        self._classes, self._tenants = classes, tenants
+        self.worker_client.class_numbers_changed()
+
+    def parameters(self, function_name: str) -> SubmissionParameters | None:
+        """The parameters of a job submitted now; None if its function or its class is not accepted."""
+        function = self.functions.get(function_name)
+        job_class = self._classes.get(function.class_name) if function is not None else None
+        if function is None or job_class is None:
+            return None
+        deadline_ms = self.forwarder.settings.classes[job_class].deadline_ms
+        return SubmissionParameters(
+            job_class,
+            self._tenants.number(function.tenant_name),
+            min(function.client_timeout_ms, deadline_ms),
+            function.tenant_name,
+            function.form,
+        )
 
     # ---- connections
 
@@ -92,7 +124,7 @@
         return b"H:%s:%d" % (self._label, self._handle_count)
 
     def submit(
-        self, job: GearmanJob, function: GearmanFunction, name: bytes, body: bytes, priority: int
+        self, job: GearmanJob, parameters: SubmissionParameters, name: bytes, body: bytes, priority: int
     ) -> None:
         """Submit a job unless its client has disconnected; the unique id is the idempotency key."""
         if job.handle not in self.jobs:
@@ -103,15 +135,15 @@
         handle = job.handle.decode("latin-1")
         request = Request(
             handle,
-            function.job_class,
-            function.timeout_ms,
-            function.tenant,
+            parameters.job_class,
+            parameters.timeout_ms,
+            parameters.tenant,
             body,
             unique_id.decode("latin-1") or handle,
             function=name.decode("latin-1"),
             priority=priority,
-            tenant_name=function.tenant_name,
-            form_version=function.form,
+            tenant_name=parameters.tenant_name,
+            form_version=parameters.form,
         )
         job.entry = self._deduplication.submit(request, job)
 
--- a/pipitshed/proxy/deduplication.py
+++ b/pipitshed/proxy/deduplication.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from pipitshed.proxy.forwarder import Forwarder
@@ -15,7 +16,7 @@
 from pipitshed.scheduling.events import ProgressKind
 from pipitshed.scheduling.settings import Idempotency
 
-DeduplicationKey = tuple[int, str]  # job class and idempotency key
+DeduplicationKey = tuple[str, str]  # name of the job class, and idempotency key
 CACHED_RESULT_BYTES = 16 * 1024 * 1024  # the oldest results beyond it are dropped; their entries are kept
 
 
@@ -66,22 +67,29 @@
 
 
 class DeduplicationTable:
-    """The entries of all keys whose request runs, or has run within the window of its class."""
-
-    def __init__(self, forwarder: Forwarder, loop: asyncio.AbstractEventLoop) -> None:
+    """The entries of all keys whose request runs, or has run within the window of its class.
+
+    Args:
+        forwarder: Runs the requests.
+        class_names: The names by class number: a class that a reload changes gets another number, but a
+            resubmission after it must find the entry of the first submission.
+        loop: The event loop.
+    """
+
+    def __init__(
+        self, forwarder: Forwarder, class_names: Sequence[str], loop: asyncio.AbstractEventLoop
+    ) -> None:
         self._forwarder = forwarder
+        self._class_names = class_names
         self._loop = loop
         self._entries: dict[DeduplicationKey, DeduplicationEntry] = {}
         self._cached: deque[DeduplicationEntry] = deque()  # entries with a result, the oldest first
         self._cached_bytes = 0
 
-    def find(self, job_class: int, key: str) -> DeduplicationEntry | None:
-        """The key's entry, whether its request runs or has ended."""
-        return self._entries.get((job_class, key))
-
     def submit(self, request: Request, requester: Requester) -> DeduplicationEntry:
         """Run the request, join the running one with its key, or answer as the ended one was answered."""
-        key = (request.job_class, request.idempotency_key) if request.idempotency_key else None
+        class_name = self._class_names[request.job_class]
+        key = (class_name, request.idempotency_key) if request.idempotency_key else None
         entry = self._entries.get(key) if key is not None else None
         if entry is None:
             entry = DeduplicationEntry(self, key, [requester])
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -287,7 +287,8 @@
     from pipitshed.protocols.http import BODY_LIMIT_BYTES
     from pipitshed.upstream.gearman import GearmanWorkerClient, WorkerLocation
 
-    functions = gearman_functions(parts, config, front)
+    functions = gearman_functions(parts, front)
+    class_names = parts.names.classes
     zones, kinds = parts.names.zones, parts.names.kinds
     zone = zones.index(front.gearman_workers.zone) if front.gearman_workers.zone else config.settings.own_zone
     location = WorkerLocation(
@@ -298,31 +299,40 @@
     )
     workers = GearmanWorkerClient(
         parts.forwarder,
-        {name: function.job_class for name, function in functions.items()},
+        {name: function.class_name for name, function in functions.items()},
+        class_names,
         location,
         BODY_LIMIT_BYTES,
         loop,
     )
     label = f"{config.name or 'pipitshed'}-{config.seed & INSTANCE_ID_MASK:08x}"
     peer_count = parts.descriptors.gearman_peer_count
-    return GearmanFrontend(parts.forwarder, workers, functions, loop, label, peer_count, server.drain)
+    return GearmanFrontend(
+        parts.forwarder,
+        workers,
+        functions,
+        {name: number for number, name in enumerate(class_names)},
+        parts.names.tenants.accepted(),
+        loop,
+        label,
+        peer_count,
+        server.drain,
+    )
 
 
-def gearman_functions(parts: Parts, config: Config, front: FrontConfig) -> dict[str, GearmanFunction]:
+def gearman_functions(parts: Parts, front: FrontConfig) -> dict[str, GearmanFunction]:
     """The Gearman functions by name, with the class, tenant, timeout and message form of their jobs."""
     from pipitshed.frontends.gearman import GearmanFunction
 
     translator = parts.translation.translator if parts.translation is not None else None
-    tenants = parts.names.tenants.accepted()
     functions = {}
     for name, function in front.gearman_functions.items():
-        job_class = config.classes.index(function.job_class)
-        tenant_number = tenants.number(function.tenant)
         form = function.form_version
         if translator is not None and form is None:
             form = translator.clients.gearman
-        timeout_ms = min(function.client_timeout_ms, config.settings.classes[job_class].deadline_ms)
-        functions[name] = GearmanFunction(job_class, tenant_number, timeout_ms, function.tenant, form)
+        functions[name] = GearmanFunction(
+            function.job_class, function.tenant, function.client_timeout_ms, form
+        )
     return functions
 
 
--- a/pipitshed/server/reload.py
+++ b/pipitshed/server/reload.py
@@ -104,9 +104,7 @@
         settings = replace(settings, classes=self.classes.classes, tenants=tenants, own_zone=own_zone)
         parts.forwarder.apply_settings(settings)
         parts.http_workers.apply_settings(settings.limits, config.report_fields)
-        parts.http_frontend.parser.apply_settings(self.classes.accepted_at(now), registry.accepted())
-        if parts.gearman_frontend is not None:
-            parts.gearman_frontend.apply_tenants(registry.accepted())
+        self._apply_numbers_to_frontends(now)
         if self.classes.leaving:
             self._loop.call_later(DROPPED_CLASS_GRACE_S, self._drop_expired_classes)
         self.config = config
@@ -120,13 +118,19 @@
             return job_class
         return replace(job_class, worker_kind=self._parts.names.kinds.index(config.kinds[kind]))
 
+    def _apply_numbers_to_frontends(self, now: float) -> None:
+        """Tell the frontends the numbers of the classes and tenants that are accepted at loop time `now`."""
+        classes, tenants = self.classes.accepted_at(now), self._parts.names.tenants.accepted()
+        self._parts.http_frontend.parser.apply_settings(classes, tenants)
+        if self._parts.gearman_frontend is not None:
+            self._parts.gearman_frontend.apply_settings(classes, tenants)
+
     def _drop_expired_classes(self) -> None:
         """Stop accepting dropped classes whose grace period is over."""
         now = self._loop.time()
-        accepted = self.classes.accepted_at(now)
-        self._parts.http_frontend.parser.apply_settings(accepted, self._parts.names.tenants.accepted())
+        self._apply_numbers_to_frontends(now)
         # A uvloop timer may fire slightly early, before the grace period is over.
         if pending := [entry.until for entry in self.classes.leaving.values() if entry.until > now]:
             self._loop.call_later(min(pending) - now + TIMER_MARGIN_S, self._drop_expired_classes)
         else:
-            log.info("classes accepted now: %s", ", ".join(accepted))
+            log.info("classes accepted now: %s", ", ".join(self.classes.accepted_at(now)))
--- a/pipitshed/upstream/gearman.py
+++ b/pipitshed/upstream/gearman.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -224,21 +224,32 @@
 
 
 class GearmanWorkerClient:
-    """All connected Gearman workers, and the job class of each function."""
+    """All connected Gearman workers, and the job class of each function.
+
+    Args:
+        forwarder: Gets the outcomes of the attempts.
+        class_by_function: The names of the functions' classes; a reload may give a class another number.
+        class_names: The names by class number, extended at a reload.
+        location: Where all workers are.
+        body_limit: The maximum size of a result in bytes.
+        loop: The event loop.
+    """
 
     def __init__(
         self,
         forwarder: Forwarder,
-        classes: Mapping[str, int],
+        class_by_function: Mapping[str, str],
+        class_names: Sequence[str],
         location: WorkerLocation,
         body_limit: int,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self.forwarder = forwarder
         self.loop = loop
-        self.body_limit = body_limit  # bytes of a result
+        self.body_limit = body_limit
+        self.class_names = class_names
         self.workers: dict[GearmanWorker, None] = {}
-        self._classes = classes  # by function
+        self._class_by_function = class_by_function
         self._location = location
         self._worker_count = 0
         self._handle_count = 0
@@ -262,18 +273,28 @@
         request = attempt.context.request
         if request.function:
             return request.function if request.function in worker.abilities else None
+        class_name = self.class_names[request.job_class]
         return next(
-            (function for function in worker.abilities if self._classes.get(function) == request.job_class),
+            (
+                function
+                for function in worker.abilities
+                if self._class_by_function.get(function) == class_name
+            ),
             None,
         )
 
+    def class_numbers_changed(self) -> None:
+        """Update the endpoint table after a reload, in which a changed class gets another number."""
+        for worker in list(self.workers):
+            self.list_worker(worker)
+
     def list_worker(self, worker: GearmanWorker) -> None:
         """Update the endpoint table with a worker's current abilities.
 
         A worker without any ability is draining until its connection ends. Attempts that wait for an ability
         that it no longer has are rejected.
         """
-        job_classes = frozenset(self._classes[name] for name in worker.abilities if name in self._classes)
+        job_classes = self._job_classes(worker)
         if worker.is_removed:
             self.workers.pop(worker, None)
         if job_classes or worker.is_listed:
@@ -284,6 +305,12 @@
                 worker.waiting.remove(attempt)
                 self.forwarder.attempt_finished(attempt, Outcome.REJECTED)
 
+    def _job_classes(self, worker: GearmanWorker) -> frozenset[int]:
+        """The numbers of the classes that a worker runs, with those under which jobs in progress run."""
+        class_by_function = self._class_by_function
+        names = {class_by_function[name] for name in worker.abilities if name in class_by_function}
+        return frozenset(number for number, name in enumerate(self.class_names) if name in names)
+
     def _update_endpoint(self, worker: GearmanWorker, job_classes: frozenset[int]) -> None:
         if worker.is_removed:
             state = EndpointState.REMOVED
--- a/tests/upstream/test_attempt_races.py
+++ b/tests/upstream/test_attempt_races.py
@@ -206,7 +206,12 @@
     rig = Rig(Idempotency.IDEMPOTENT_WITH_KEY)
     connection = Mock()
     worker_client = GearmanWorkerClient(
-        rig.forwarder, {"plan": 0}, WorkerLocation(0, 0, 0, 1.0), 1000, asyncio.get_running_loop()
+        rig.forwarder,
+        {"plan": "quote"},
+        ["quote"],
+        WorkerLocation(0, 0, 0, 1.0),
+        1000,
+        asyncio.get_running_loop(),
     )
     worker = worker_client.worker(connection)
     worker.handle(PacketType.CAN_DO, [b"plan"])
