--- a/pipitshed/cluster/settings.py
+++ b/pipitshed/cluster/settings.py
@@ -51,12 +51,10 @@
     Attributes:
         file: Returns the parsed content of the settings file in force.
         apply: Applies the settings of that file with the values of rows in them.
-        fixed_classes: Names of classes that cannot be changed while the scheduler runs.
     """
 
     file: Callable[[], dict[str, Any]]
     apply: Callable[[dict[str, Any]], object]
-    fixed_classes: frozenset[str] = frozenset()
 
 
 class SettingsTransport(Protocol):
@@ -186,7 +184,7 @@
         if not state.rows:
             return apply(raw["settings"])
         rows = tuple(state.rows.values())
-        overlaid = overlay(raw, rows, state.applied, self.target.fixed_classes)
+        overlaid = overlay(raw, rows, state.applied)
         result = apply(overlaid.raw["settings"])
         self._record_applied(raw, overlaid, rows, state.digest, file_is_new=True)
         return result
@@ -258,7 +256,7 @@
 
     def _apply(self, rows: tuple[Row, ...], digest: bytes, previously_applied: Mapping[str, Row]) -> None:
         raw = self.target.file()
-        overlaid = overlay(raw, rows, previously_applied, self.target.fixed_classes)
+        overlaid = overlay(raw, rows, previously_applied)
         try:
             if overlaid.applied != self.confirmations.state.applied:
                 self.target.apply(overlaid.raw["settings"])
--- a/pipitshed/cluster/settings_commands.py
+++ b/pipitshed/cluster/settings_commands.py
@@ -126,7 +126,7 @@
         name, target = self._settings.name, self._settings.target
         if message.body is None:
             return self._table.delete(message.key, name, message.take_over)
-        check(target.file(), Row(message.key, 1, 1, name, message.body), target.fixed_classes)
+        check(target.file(), Row(message.key, 1, 1, name, message.body))
         return self._table.put(message.key, message.body, name, message.take_over)
 
     def _knows_cluster(self, live: LiveInstances) -> bool:
--- a/pipitshed/config/row_overlay.py
+++ b/pipitshed/config/row_overlay.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -65,7 +65,6 @@
     raw: dict[str, Any],
     rows: Iterable[Row],
     previously_applied: Mapping[str, Row] | None = None,
-    fixed_classes: Container[str] = (),
 ) -> Overlay:
     """Apply rows to the settings of a file; `raw` itself is not changed.
 
@@ -76,7 +75,6 @@
         raw: The file as it was read.
         rows: The rows, one for each key.
         previously_applied: The rows applied before, by key.
-        fixed_classes: Names of classes that no row can change in this process.
     """
     indexes = {kind: _indexes_by_name(raw, kind) for kind in _LIST_BY_KIND}
     previous_rows = previously_applied or {}
@@ -89,7 +87,7 @@
                 break
             try:
                 if not candidate.deleted:
-                    changes.append(_check(raw, indexes, candidate, fixed_classes))
+                    changes.append(_check(raw, indexes, candidate))
             except RowRejectedError as error:
                 rejected.setdefault(row.key, error.reason)
                 continue
@@ -98,14 +96,14 @@
     return Overlay(raw | {"settings": _changed_settings(raw["settings"], changes)}, applied, rejected)
 
 
-def check(raw: dict[str, Any], row: Row, fixed_classes: Container[str] = ()) -> float:
+def check(raw: dict[str, Any], row: Row) -> float:
     """Return the value of a row that can be applied to the file in force.
 
     Raises:
         RowRejectedError: The row cannot be applied.
     """
     indexes = {kind: _indexes_by_name(raw, kind) for kind in _LIST_BY_KIND}
-    return _check(raw, indexes, row, fixed_classes).value
+    return _check(raw, indexes, row).value
 
 
 def file_value(raw: dict[str, Any], key: str) -> float | None:
@@ -139,15 +137,10 @@
     return indexes
 
 
-def _check(
-    raw: dict[str, Any], indexes_by_kind: dict[str, IndexesByName], row: Row, fixed_classes: Container[str]
-) -> _Change:
+def _check(raw: dict[str, Any], indexes_by_kind: dict[str, IndexesByName], row: Row) -> _Change:
     if not row.readable:
         raise RowRejectedError(row.key, f"a newer version of pipitshed wrote it (form {row.format_version})")
     key = _parse_key(row.key)
-    if key.kind == "class" and key.name in fixed_classes:
-        reason = f"Gearman's functions use class {key.name!r} with its limits of the start"
-        raise RowRejectedError(row.key, reason)
     indexes = indexes_by_kind[key.kind].get(key.name, [])
     if len(indexes) != 1:
         count = "no" if not indexes else "more than one"
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -346,7 +346,6 @@
 def build_cluster_node(
     cluster_config: ClusterConfig,
     config: Config,
-    front: FrontConfig,
     raw_config: Callable[[], dict[str, Any]],
     apply_row_settings: Callable[[dict[str, Any]], object],
     loop: asyncio.AbstractEventLoop,
@@ -355,9 +354,5 @@
     from pipitshed.cluster.node import ClusterNode
     from pipitshed.cluster.settings import SettingsTarget
 
-    # Gearman functions and workers keep the class numbers of the start, so rows cannot change these classes.
-    fixed_classes = frozenset[str]()
-    if front.gearman_addresses:
-        fixed_classes = frozenset(function.job_class for function in front.gearman_functions.values())
-    target = SettingsTarget(raw_config, apply_row_settings, fixed_classes)
+    target = SettingsTarget(raw_config, apply_row_settings)
     return ClusterNode(cluster_config, own_zone_name(config), loop, target)
--- a/pipitshed/server/server.py
+++ b/pipitshed/server/server.py
@@ -65,7 +65,6 @@
             self.parts.cluster_node = build_cluster_node(
                 cluster_config,
                 config,
-                front,
                 self.reloader.raw_config,
                 self.reloader.apply_row_settings,
                 loop,
