--- a/pipitshed/scheduling/endpoint_list.py
+++ b/pipitshed/scheduling/endpoint_list.py
@@ -6,6 +6,7 @@
 
 from pipitshed.scheduling import outlier_ejection
 from pipitshed.scheduling.events import EndpointEntry, EndpointState, EndpointsUpdated, UpdateKind, WorkerId
+from pipitshed.scheduling.job_state import Scope
 from pipitshed.scheduling.settings import Settings, WeightKind
 from pipitshed.scheduling.weighted_pools import Pools
 from pipitshed.scheduling.worker_state import Worker
@@ -53,13 +54,17 @@
             if entry.state is EndpointState.REMOVED:
                 return
             worker = self.workers[entry.worker] = Worker(entry)
-            self.pools.add(worker, (None, ("zone", worker.zone), ("cell", worker.cell)))
+            self.pools.add(worker, self._tags(worker))
+        elif (entry.zone, entry.cell) != (worker.zone, worker.cell):
+            worker.zone, worker.cell = entry.zone, entry.cell
+            self.pools.change_tags(worker, self._tags(worker))
         before = worker.selection_fields()
         if self.settings.weight_kind is WeightKind.LIVE:
             worker.weight += LIVE_WEIGHT_SMOOTHING * (entry.weight - worker.weight)
         elif entry.weight > 0:
             worker.weight = entry.weight
         worker.ready = entry.state is EndpointState.READY
+        worker.kind = entry.worker_kind
         worker.job_classes = entry.job_classes
         worker.interface = entry.interface
         worker.planned_weights = entry.planned_weights
@@ -108,6 +113,11 @@
             self.planned_workers.discard(worker.id)
         self.pools.change(worker)
 
+    @staticmethod
+    def _tags(worker: Worker) -> tuple[Scope, ...]:
+        """The scopes that a worker belongs to; they are the tags of its pools."""
+        return None, ("zone", worker.zone), ("cell", worker.cell)
+
     @staticmethod
     def takes_class(worker: Worker, class_index: int) -> bool:
         """Whether the worker is listed as ready to take jobs of this class."""
--- a/pipitshed/scheduling/job_state.py
+++ b/pipitshed/scheduling/job_state.py
@@ -16,6 +16,8 @@
 
     __slots__ = (
         "worker",
+        "zone",
+        "cell",
         "dispatched_at_ms",
         "started_at_ms",
         "last_progress_at_ms",
@@ -28,6 +30,7 @@
 
     def __init__(self, worker: Worker, now_ms: float) -> None:
         self.worker = worker
+        self.zone, self.cell = worker.zone, worker.cell  # of the dispatch, as the worker may move later
         self.dispatched_at_ms = now_ms
         self.started_at_ms = now_ms  # time of the dispatch until the start is reported
         self.last_progress_at_ms = now_ms
--- a/pipitshed/scheduling/retry_policy.py
+++ b/pipitshed/scheduling/retry_policy.py
@@ -58,8 +58,8 @@
     if job_class.deduplication_scope is DeduplicationScope.ALL:
         return None
     if job_class.deduplication_scope is DeduplicationScope.ZONE:
-        return "zone", first.worker.zone
-    return "cell", first.worker.cell
+        return "zone", first.zone
+    return "cell", first.cell
 
 
 def _repeat_until_ms(first: Attempt, job_class: JobClass, tick_ms: float) -> float:
--- a/pipitshed/scheduling/weighted_pools.py
+++ b/pipitshed/scheduling/weighted_pools.py
@@ -172,11 +172,16 @@
         self._groups: dict[Hashable, TagGroup[Member]] = {}
 
     def add(self, member: Member, tags: tuple[Hashable, ...]) -> None:
-        """Add a new member; its tags never change."""
+        """Add a new member."""
         self._tags[member] = tags
         for tag in tags:
             self._groups.setdefault(tag, TagGroup()).add(member)
 
+    def change_tags(self, member: Member, tags: tuple[Hashable, ...]) -> None:
+        """Replace a member's tags; its weights are read again."""
+        self.remove(member)
+        self.add(member, tags)
+
     def change(self, member: Member) -> None:
         """Mark a member's weights as changed."""
         for tag in self._tags[member]:
--- a/pipitshed/scheduling/worker_state.py
+++ b/pipitshed/scheduling/worker_state.py
@@ -59,4 +59,4 @@
 
     def selection_fields(self) -> tuple[object, ...]:
         """The fields from the endpoint list that determine the selection weights."""
-        return self.ready, self.weight, self.job_classes, self.interface, self.planned_weights
+        return self.ready, self.kind, self.weight, self.job_classes, self.interface, self.planned_weights
--- a/tests/discovery/test_dns_sd.py
+++ b/tests/discovery/test_dns_sd.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from loopback import HttpClient, Planner, async_test, program
+from loopback import HttpClient, Planner, Run, async_test, program
 from name_server import SERVICE, NameServer
 
 
@@ -37,3 +37,34 @@
             await server.wait_for_refreshes(2)
             await submit_twenty(first)
     server.transport.close()
+
+
+@async_test
+async def test_a_booking_is_not_repeated_in_the_zone_to_which_records_have_moved_a_worker() -> None:
+    """Guards against a worker's zone that stays that of its first records: a booking whose first run was lost
+    ran again in another data centre, which had not seen its key."""
+
+    def lose(run: Run) -> None:
+        run.send_event("started")
+        run.send_event("lost")
+
+    loop = asyncio.get_running_loop()
+    _, server = await loop.create_datagram_endpoint(NameServer, local_addr=("127.0.0.1", 0))
+    front = f'[dns-sd]\nserver = "127.0.0.1:{server.port}"\nservice = "{SERVICE}"\n'
+    async with Planner("p1", act=lose) as losing, Planner("p2") as moved, Planner("p3") as other:
+        server.add(losing)
+        server.add(moved)
+        async with program(front=front, settings={"discovery": "pushed"}) as running:
+            await server.wait_for_refreshes(2)
+            moved.zone = "arequipa"
+            server.add(moved)
+            await server.wait_for_refreshes(2)
+            client = await HttpClient.to(running.port)
+            client.ask("b1", "book", Idempotency_Key="k1", X_Deadline="1.000")
+            assert (await client.answer())[0] == 500
+            server.add(other)
+            await server.wait_for_refreshes(2)
+            client.ask("b2", "book", Idempotency_Key="k2")
+            assert (await client.answer())[0] == 200
+            assert losing.runs and other.runs and not moved.runs
+    server.transport.close()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -70,7 +70,7 @@
 
     deadline: float
     cls: JobClass
-    sends: list[tuple[float, WorkerId]] = field(default_factory=list)
+    sends: list[tuple[float, EndpointEntry | None]] = field(default_factory=list)  # as listed at the send
     outcomes: dict[int, Outcome] = field(default_factory=dict)
     answered: bool = False
 
@@ -123,7 +123,7 @@
         elif isinstance(action, FailRequest):
             self._answer(now, self.jobs[action.job_id])
 
-    def _may_have_run(self, tracked: TrackedJob) -> list[tuple[float, WorkerId]]:
+    def _may_have_run(self, tracked: TrackedJob) -> list[tuple[float, EndpointEntry | None]]:
         return [
             sent
             for index, sent in enumerate(tracked.sends)
@@ -146,11 +146,12 @@
             self.faults.append("sent to a drained worker")
         if not self.config.limits.parallel_attempts and len(tracked.outcomes) < len(tracked.sends):
             self.faults.append("two attempts at once")
-        for sent_at, first in self._may_have_run(tracked):
+        new = self.listed.get(worker)
+        for sent_at, old in self._may_have_run(tracked):
             if tracked.cls.idempotency is Idempotency.NON_IDEMPOTENT:
                 self.faults.append("unsafe job repeated")
             elif tracked.cls.idempotency is Idempotency.IDEMPOTENT_WITH_KEY:
-                old, new = self.listed[first], self.listed[worker]
+                assert old is not None and new is not None
                 inside = {
                     DeduplicationScope.ALL: True,
                     DeduplicationScope.ZONE: old.zone == new.zone,
@@ -161,7 +162,7 @@
                     or now > sent_at + tracked.cls.idempotency_window_ms
                 ):
                     self.faults.append("keyed job repeated outside its group or window")
-        tracked.sends.append((now, worker))
+        tracked.sends.append((now, new))
 
     def close(self, now: float) -> None:
         for tracked in self.jobs.values():
--- a/tests/name_server.py
+++ b/tests/name_server.py
@@ -48,7 +48,7 @@
     def add(self, planner: Planner, *pairs: str) -> None:
         name = f"{planner.name}.{SERVICE}"
         self.records[name, "SRV"] = [f"0 1 {planner.port} {planner.name}.depots.example."]
-        self.records[name, "TXT"] = [" ".join(f'"{pair}"' for pair in ("zone=lima-norte", *pairs))]
+        self.records[name, "TXT"] = [" ".join(f'"{pair}"' for pair in (f"zone={planner.zone}", *pairs))]
         self.records[f"{planner.name}.depots.example.", "A"] = ["127.0.0.1"]
         instances = self.records.setdefault((SERVICE, "PTR"), [])
         if name not in instances:
--- a/tests/scheduling/test_endpoint_list.py
+++ b/tests/scheduling/test_endpoint_list.py
@@ -1,4 +1,4 @@
-"""Workers that left the endpoint list are removed in time, unless state of them is still needed."""
+"""Workers that a list moves follow it; those that left it are removed in time, unless still needed."""
 
 from __future__ import annotations
 
@@ -12,7 +12,14 @@
 from benchmarks.capacity.decisions import Scheduler
 from pipitshed.scheduling.actions import StartAttempt
 from pipitshed.scheduling.endpoint_list import DEPARTED_RETENTION_MS
-from pipitshed.scheduling.events import EndpointState, EndpointsUpdated, JobSubmitted, Outcome, UpdateKind
+from pipitshed.scheduling.events import (
+    EndpointEntry,
+    EndpointState,
+    EndpointsUpdated,
+    JobSubmitted,
+    Outcome,
+    UpdateKind,
+)
 from pipitshed.scheduling.settings import DeduplicationScope, Guarantees, Idempotency, Limits
 from pipitshed.scheduling.slow_start import is_warming_up
 from pipitshed.scheduling.worker_state import Worker
@@ -147,3 +154,65 @@
     update_list(bench, replace(FIRST, started_at_ms=bench.now - 100.0))
     slow_start_ms = bench.config.guarantees.slow_start_ms
     assert is_warming_up(bench.dispatcher.workers[FIRST_ID], slow_start_ms, bench.dispatcher.now_ms)
+
+
+# ---- workers that a list moves
+
+LOCATION_FIELDS = {DeduplicationScope.ZONE: "zone", DeduplicationScope.CELL: "cell"}
+
+
+def located(entry: EndpointEntry, scope: DeduplicationScope, location: int) -> EndpointEntry:
+    """The entry in this zone or cell, whichever the scope counts by."""
+    return replace(entry, **{LOCATION_FIELDS[scope]: location})  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("scope", LOCATION_FIELDS)
+def test_a_keyed_retry_does_not_follow_a_worker_to_another_location(scope: DeduplicationScope) -> None:
+    """Guards against a worker's zone and cell that stay those of its first entry: a booking was repeated in
+    another data centre, which had not seen its key."""
+    bench = bench_of(Idempotency.IDEMPOTENT_WITH_KEY, scope)
+    update_list(bench, located(FIRST, scope, 5))
+    job = submit_job(bench)
+    update_list(bench, located(SECOND, scope, 5))
+    update_list(bench, replace(located(SECOND, scope, 6), started_at_ms=600.0))
+    bench.finish(job, 0, Outcome.RESET)
+    update_list(bench, located(FIRST, scope, 6))
+    assert not retries(bench)
+    update_list(bench, located(THIRD, scope, 5))
+    assert {send.worker for send in retries(bench)} == {THIRD.worker}
+    assert not bench.checker.faults
+
+
+@pytest.mark.parametrize("scope", LOCATION_FIELDS)
+def test_a_keyed_retry_stays_where_its_worker_was_at_the_dispatch(scope: DeduplicationScope) -> None:
+    """Guards against a retry in the zone or cell to which the first attempt's worker has moved since."""
+    bench = bench_of(Idempotency.IDEMPOTENT_WITH_KEY, scope)
+    update_list(bench, located(FIRST, scope, 5))
+    job = submit_job(bench)
+    update_list(bench, located(FIRST, scope, 6), located(SECOND, scope, 6))
+    bench.finish(job, 0, Outcome.RESET)
+    assert not retries(bench)
+    update_list(bench, located(THIRD, scope, 5))
+    assert {send.worker for send in retries(bench)} == {THIRD.worker}
+    assert not bench.checker.faults
+
+
+def test_a_worker_whose_kind_changes_gets_the_jobs_of_its_new_kind() -> None:
+    """Guards against a worker's kind that stays that of its first entry."""
+    bench = bench_of()
+    [job_class] = bench.config.classes
+    bench.dispatcher.apply_settings(replace(bench.config, classes=(replace(job_class, worker_kind=2),)))
+    update_list(bench, FIRST, replace(SECOND, worker_kind=2))
+    update_list(bench, replace(FIRST, worker_kind=2), SECOND)
+    sends = [sends_of(bench.feed(JobSubmitted(number, 250_000.0)))[0] for number in range(1, 9)]
+    assert {send.worker for send in sends} == {FIRST_ID}
+
+
+def test_a_worker_that_moves_leaves_nothing_in_its_old_pools() -> None:
+    """Guards against a move that leaves a member, or an empty group, behind."""
+    bench = bench_of()
+    endpoint_list = bench.dispatcher.endpoints
+    for zone in range(9):
+        update_list(bench, replace(FIRST, zone=zone, cell=zone))
+    assert endpoint_list.pools._groups.keys() == {None, ("zone", 8), ("cell", 8)}
+    assert all(len(group.members) == 1 for group in endpoint_list.pools._groups.values())
