--- a/pipitshed/proxy/dispatch_loop.py
+++ b/pipitshed/proxy/dispatch_loop.py
@@ -9,16 +9,10 @@
 from time import monotonic
 
 from pipitshed.proxy.decision_log import DecisionLog
-from pipitshed.proxy.endpoint_table import merge_updates
+from pipitshed.proxy.endpoint_table import DiscoveryEvent, merge_consecutive
 from pipitshed.scheduling.actions import Action
 from pipitshed.scheduling.dispatcher import Dispatcher
-from pipitshed.scheduling.events import (
-    DiscoveryMoved,
-    EndpointsUpdated,
-    Event,
-    TimerFired,
-    UpdateKind,
-)
+from pipitshed.scheduling.events import Event, TimerFired
 
 TIMER_RETRY_S = 0.001  # added to the due time of a timer that fired early
 
@@ -47,8 +41,7 @@
         self._decision_log = decision_log
         self._events: list[Event] = []
         self._turn_scheduled = False
-        self._endpoint_updates: list[EndpointsUpdated] = []  # of this iteration, to be merged into one
-        self._first_update_index = 0  # index among the events of the first update
+        self._discovery_events: list[DiscoveryEvent] = []
 
     def now_ms(self) -> float:
         """The time of the dispatcher's clock: Unix time in ms."""
@@ -57,30 +50,30 @@
     def post(self, event: Event) -> None:
         """Queue an event; the dispatcher gets it with all others of this event loop iteration."""
         self._events.append(event)
+        self._schedule_turn()
+
+    def post_endpoint_update(self, update: DiscoveryEvent) -> None:
+        """Post an event of the endpoint list; the dispatcher gets it first in its iteration.
+
+        The endpoint table has applied it already. If the dispatcher chose a worker by its previous entry, the
+        attempt would go to the worker's new address.
+        """
+        self._discovery_events.append(update)
+        self._schedule_turn()
+
+    def _schedule_turn(self) -> None:
         if not self._turn_scheduled:
             self._turn_scheduled = True
             self._loop.call_soon(self._run_turn)
 
-    def post_endpoint_update(self, update: EndpointsUpdated | DiscoveryMoved) -> None:
-        """Post an update of the endpoint list, merged with the others of its iteration.
+    def _take_events(self) -> list[Event]:
+        """The events of this iteration: first those from discovery, with consecutive updates merged.
 
-        A failed zone may arrive as hundreds of updates in one iteration: the dispatcher gets them as one, at
-        the position of the first.
+        A failed zone may arrive as hundreds of updates in one iteration.
         """
-        if isinstance(update, DiscoveryMoved) or update.kind is not UpdateKind.DELTA:
-            self._merge_endpoint_updates()
-        else:
-            self._endpoint_updates.append(update)
-            if len(self._endpoint_updates) > 1:
-                return
-            self._first_update_index = len(self._events)
-        self.post(update)
-
-    def _merge_endpoint_updates(self) -> None:
-        """Merge the updates so far into one event; later updates start another."""
-        if len(self._endpoint_updates) > 1:
-            self._events[self._first_update_index] = merge_updates(self._endpoint_updates)
-        self._endpoint_updates = []
+        events = [*merge_consecutive(self._discovery_events), *self._events]
+        self._discovery_events, self._events = [], []
+        return events
 
     def _run_turn(self) -> None:
         """Pass the events to the dispatcher, and execute its actions.
@@ -89,9 +82,7 @@
         next one, so after a lost timer the next step of a job would never be taken.
         """
         self._turn_scheduled = False
-        if self._endpoint_updates:
-            self._merge_endpoint_updates()
-        events, self._events = self._events, []
+        events = self._take_events()
         now_ms = (self.epoch_s + monotonic()) * 1000
         try:
             actions = self._dispatcher.handle(now_ms, events)
--- a/pipitshed/proxy/endpoint_table.py
+++ b/pipitshed/proxy/endpoint_table.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Iterator, Sequence
 from dataclasses import replace
-from itertools import takewhile
+from itertools import groupby, takewhile
 from time import monotonic
+from typing import cast
 
 from pipitshed.proxy.worker_client import Endpoint
 from pipitshed.scheduling.events import (
@@ -21,8 +22,26 @@
 FORGET_AFTER_S = 60.0  # after a worker's removal; pending actions of the dispatcher may still name it
 
 
-def merge_updates(updates: Sequence[EndpointsUpdated]) -> EndpointsUpdated:
+DiscoveryEvent = EndpointsUpdated | DiscoveryMoved
+
+
+def merge_consecutive(events: Iterable[DiscoveryEvent]) -> Iterator[DiscoveryEvent]:
+    """The events with each run of updates that are deltas merged into one."""
+    for is_delta, run in groupby(events, _is_delta):
+        if is_delta:
+            yield _merge_updates(cast(list[EndpointsUpdated], list(run)))
+        else:
+            yield from run
+
+
+def _is_delta(event: DiscoveryEvent) -> bool:
+    return isinstance(event, EndpointsUpdated) and event.kind is UpdateKind.DELTA
+
+
+def _merge_updates(updates: Sequence[EndpointsUpdated]) -> EndpointsUpdated:
     """Merge consecutive updates: keep the last entry of each worker, in the order received."""
+    if len(updates) == 1:
+        return updates[0]
     entries: dict[WorkerId, EndpointEntry] = {}
     for update in updates:
         for entry in update.entries:
@@ -52,7 +71,7 @@
 
     def __init__(
         self,
-        post: Callable[[EndpointsUpdated | DiscoveryMoved], None],
+        post: Callable[[DiscoveryEvent], None],
         clock: Callable[[], float] = monotonic,
         workers_in_use: Callable[[], Container[WorkerId]] = _no_workers,
         on_interfaces_changed: Callable[[], None] = _ignore_interfaces,
--- a/tests/proxy/test_endpoint_updates.py
+++ b/tests/proxy/test_endpoint_updates.py
@@ -11,16 +11,18 @@
 
 import pytest
 from catalog_updates import HEAD, catalog_entries, chunk, update_bytes
-from helpers import settings, worker_id
+from helpers import entries, settings, worker_id
 
 from pipitshed.discovery.catalog import CatalogClient, EndpointParser, NameIndex
 from pipitshed.discovery.catalog.client import ENTRIES_PER_TURN
 from pipitshed.discovery.catalog.watch import CatalogCall
+from pipitshed.proxy.attempt import Attempt
 from pipitshed.proxy.endpoint_table import EndpointTable
 from pipitshed.proxy.forwarder import Forwarder
+from pipitshed.proxy.request import Request
 from pipitshed.proxy.worker_client import Endpoint
-from pipitshed.scheduling.events import EndpointEntry, EndpointState, EndpointsUpdated, UpdateKind
-from pipitshed.scheduling.settings import WeightKind
+from pipitshed.scheduling.events import EndpointEntry, EndpointState, EndpointsUpdated, Outcome, UpdateKind
+from pipitshed.scheduling.settings import DeduplicationScope, Idempotency, WeightKind
 
 
 class Rig:
@@ -209,3 +211,36 @@
         assert table.size() == len({entry.worker for entry in listed})
         assert table.interfaces() == {entry.interface for entry in ready}
     assert len(reported) > 100 and all(a != b for a, b in zip(reported, reported[1:], strict=False))
+
+
+def test_a_job_submitted_in_the_iteration_of_a_move_is_counted_for_the_worker_s_new_zone() -> None:
+    """Guards against a booking that runs in two zones: the attempt goes to the address that the table has by
+    then, so the dispatcher must know the move when it chooses the worker."""
+
+    async def run() -> None:
+        forwarder = Forwarder(
+            settings(Idempotency.IDEMPOTENT_WITH_KEY, DeduplicationScope.ZONE), 1, asyncio.get_running_loop()
+        )
+        started: asyncio.Queue[Attempt] = asyncio.Queue()
+        client = Mock(start=started.put_nowait)
+        moved, in_zone_0, in_zone_1 = entries(3)
+        assert (moved.zone, in_zone_0.zone, in_zone_1.zone) == (1, 0, 1)
+
+        def list_worker(entry: EndpointEntry, address: str) -> None:
+            row = (entry, Endpoint(entry.worker, client, address))
+            forwarder.endpoints.update("test", UpdateKind.DELTA, 1, [row])
+
+        list_worker(moved, "zone 1")
+        await asyncio.sleep(0)
+        forwarder.submit(Request("b1", 0, 5000.0, 0, b"", "k1"), Mock())
+        list_worker(replace(moved, zone=0), "zone 0")
+        first = await started.get()
+        assert first.endpoint.address == "zone 0"
+        first.fully_sent = True
+        list_worker(replace(moved, zone=0, state=EndpointState.DRAINING), "zone 0")
+        list_worker(in_zone_0, "zone 0")
+        list_worker(in_zone_1, "zone 1")
+        forwarder.attempt_finished(first, Outcome.RESET)
+        assert (await started.get()).endpoint.id == in_zone_0.worker
+
+    asyncio.run(run())
