--- a/pipitshed/discovery/catalog/endpoint_parser.py
+++ b/pipitshed/discovery/catalog/endpoint_parser.py
@@ -8,7 +8,7 @@
 from pipitshed.protocols.address import parse_address
 from pipitshed.proxy.endpoint_table import EndpointRow
 from pipitshed.proxy.worker_client import Endpoint, WorkerClient
-from pipitshed.scheduling.events import EndpointEntry, EndpointState
+from pipitshed.scheduling.events import UNKNOWN_ZONE, EndpointEntry, EndpointState
 
 _STATES = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING, "gone": EndpointState.REMOVED}
 _DEFAULT_INTERFACE = 1
@@ -60,7 +60,7 @@
         job_classes = frozenset[int]() if interface == 0 else None
         scheduling_entry = EndpointEntry(
             worker,
-            self._zones.index(entry.zone),
+            self._zones.index(entry.zone) if entry.zone else UNKNOWN_ZONE,
             entry.cell,
             self._machine_types.index(entry.machine_type),
             entry.weight,
--- a/pipitshed/scheduling/endpoint_list.py
+++ b/pipitshed/scheduling/endpoint_list.py
@@ -5,7 +5,14 @@
 from itertools import takewhile
 
 from pipitshed.scheduling import outlier_ejection
-from pipitshed.scheduling.events import EndpointEntry, EndpointState, EndpointsUpdated, UpdateKind, WorkerId
+from pipitshed.scheduling.events import (
+    UNKNOWN_ZONE,
+    EndpointEntry,
+    EndpointState,
+    EndpointsUpdated,
+    UpdateKind,
+    WorkerId,
+)
 from pipitshed.scheduling.job_state import Scope
 from pipitshed.scheduling.settings import Settings, WeightKind
 from pipitshed.scheduling.weighted_pools import Pools
@@ -34,7 +41,11 @@
         """Apply new settings; a change of the kind of weights rebuilds the pools."""
         if settings.weight_kind is not self.settings.weight_kind:
             self.pools.clear()
+        has_new_zones = settings.zone_count != self.settings.zone_count
         self.settings = settings
+        if has_new_zones:
+            for worker in self.workers.values():
+                self.pools.change_tags(worker, self._tags(worker))
 
     def apply_update(self, update: EndpointsUpdated, now_ms: float) -> None:
         """Apply an update of the list; a failed fetch changes nothing."""
@@ -113,9 +124,14 @@
             self.planned_workers.discard(worker.id)
         self.pools.change(worker)
 
-    @staticmethod
-    def _tags(worker: Worker) -> tuple[Scope, ...]:
-        """The scopes that a worker belongs to; they are the tags of its pools."""
+    def _tags(self, worker: Worker) -> tuple[Scope, ...]:
+        """The scopes that a worker belongs to; they are the tags of its pools.
+
+        Where there are several zones, a worker of unknown zone may be in any of them, so it recognises no
+        other worker's jobs, and no other worker recognises its own.
+        """
+        if worker.zone == UNKNOWN_ZONE and self.settings.zone_count > 1:
+            return (None,)
         return None, ("zone", worker.zone), ("cell", worker.cell)
 
     @staticmethod
--- a/pipitshed/scheduling/events.py
+++ b/pipitshed/scheduling/events.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 WorkerId = bytes
+UNKNOWN_ZONE = -1  # of a worker whose entry names no zone
 
 
 class EndpointState(enum.IntEnum):
--- a/tests/discovery/test_dns_sd.py
+++ b/tests/discovery/test_dns_sd.py
@@ -68,3 +68,34 @@
             assert (await client.answer())[0] == 200
             assert losing.runs and other.runs and not moved.runs
     server.transport.close()
+
+
+@async_test
+async def test_workers_whose_records_name_no_zone_share_none() -> None:
+    """Guards against a zone of all workers without a TXT record: a booking that was lost at one of them ran
+    again at one in another data centre."""
+
+    def lose(run: Run) -> None:
+        run.send_event("started")
+        run.send_event("lost")
+
+    loop = asyncio.get_running_loop()
+    _, server = await loop.create_datagram_endpoint(NameServer, local_addr=("127.0.0.1", 0))
+    front = f'[dns-sd]\nserver = "127.0.0.1:{server.port}"\nservice = "{SERVICE}"\n'
+    async with (
+        Planner("p1", act=lose) as first,
+        Planner("p2", "arequipa", act=lose) as second,
+        Planner("p3", act=lose) as third,
+    ):
+        for planner in (first, second, third):
+            server.add(planner)
+        async with program(front=front, settings={"discovery": "pushed"}) as running:
+            await server.wait_for_refreshes(2)
+            for planner in (first, second, third):
+                del server.records[f"{planner.name}.{SERVICE}", "TXT"]
+            await server.wait_for_refreshes(2)
+            client = await HttpClient.to(running.port)
+            client.ask("b1", "book", Idempotency_Key="k1", X_Deadline="1.000")
+            assert (await client.answer())[0] == 500
+            assert len(first.runs) + len(second.runs) + len(third.runs) == 1
+    server.transport.close()
--- a/tests/scheduling/test_endpoint_list.py
+++ b/tests/scheduling/test_endpoint_list.py
@@ -13,6 +13,7 @@
 from pipitshed.scheduling.actions import StartAttempt
 from pipitshed.scheduling.endpoint_list import DEPARTED_RETENTION_MS
 from pipitshed.scheduling.events import (
+    UNKNOWN_ZONE,
     EndpointEntry,
     EndpointState,
     EndpointsUpdated,
@@ -216,3 +217,18 @@
         update_list(bench, replace(FIRST, zone=zone, cell=zone))
     assert endpoint_list.pools._groups.keys() == {None, ("zone", 8), ("cell", 8)}
     assert all(len(group.members) == 1 for group in endpoint_list.pools._groups.values())
+
+
+@pytest.mark.parametrize("zone_count", (1, 2))
+def test_a_keyed_job_at_a_worker_of_unknown_zone_is_repeated_only_where_there_is_one_zone(
+    zone_count: int,
+) -> None:
+    """Guards against a zone of all workers that name none, also of those listed before new settings had
+    a second zone."""
+    bench = bench_of(Idempotency.IDEMPOTENT_WITH_KEY, DeduplicationScope.ZONE)
+    update_list(bench, replace(FIRST, zone=UNKNOWN_ZONE))
+    job = submit_job(bench)
+    update_list(bench, replace(SECOND, zone=UNKNOWN_ZONE))
+    bench.dispatcher.apply_settings(replace(bench.config, zone_count=zone_count))
+    bench.finish(job, 0, Outcome.RESET)
+    assert bool(retries(bench)) is (zone_count == 1)
