--- a/pipitshed/server/server.py
+++ b/pipitshed/server/server.py
@@ -7,6 +7,7 @@
 import logging
 import signal
 from collections import Counter
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -16,6 +17,7 @@
 from pipitshed.config.front import FrontConfig
 from pipitshed.config.platform import Config
 from pipitshed.frontends.http import STOPPING_LINGER_S
+from pipitshed.scheduling.settings import JobClass
 from pipitshed.server.assembly import assemble, build_cluster_node
 from pipitshed.server.reload import SettingsReloader
 
@@ -24,6 +26,7 @@
 
 SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 HANDLED_SIGNALS = (*SHUTDOWN_SIGNALS, signal.SIGHUP)
+MS_PER_S = 1000
 
 # Times of the shutdown, from SIGTERM on.
 LISTEN_AFTER_SIGTERM_S = 0.5  # new connections keep arriving for up to 0.4 s
@@ -129,8 +132,10 @@
             return
         self._draining = True
         log.info("ending: no longer ready; accepted requests are answered first")
+        # Requests of classes that a reload dropped or changed may be in progress.
+        longest_s = _longest_deadline_s(self.parts.forwarder.settings.classes)
         self._shutdown_deadline_at = (
-            self._loop.time() + LISTEN_AFTER_SIGTERM_S + self._longest_deadline_s() + SHUTDOWN_MARGIN_S
+            self._loop.time() + LISTEN_AFTER_SIGTERM_S + longest_s + SHUTDOWN_MARGIN_S
         )
         self._loop.call_later(LISTEN_AFTER_SIGTERM_S, self._stop_listening)
         # Clients disconnected immediately might go to a peer that is still restarting.
@@ -139,15 +144,12 @@
         if self.parts.cluster_node is not None:
             self.parts.cluster_node.leave()  # last: an error in it must not prevent the shutdown
 
-    def _longest_deadline_s(self) -> float:
-        return max(cls.deadline_ms for cls in self.parts.forwarder.settings.classes) / 1000
-
     def _answer_within_s(self) -> float:
         """The time after SIGTERM within which all accepted requests are answered.
 
-        It depends on the deadlines of the deployment: where they are short, SIGKILL comes sooner.
+        It depends on the deadlines of the settings in force: where they are short, SIGKILL comes sooner.
         """
-        longest_s = self._longest_deadline_s()
+        longest_s = _longest_deadline_s(self.reloader.classes.in_force())
         return min(longest_s, LONGEST_DEADLINE_MAX_S) + SIGKILL_MARGIN_S - ANSWER_BEFORE_SIGKILL_S
 
     def _stop_listening(self) -> None:
@@ -186,6 +188,10 @@
         )
 
 
+def _longest_deadline_s(classes: Iterable[JobClass]) -> float:
+    return max(job_class.deadline_ms for job_class in classes) / MS_PER_S
+
+
 def serve(config: Config, front: FrontConfig, cluster_config: ClusterConfig | None = None) -> None:
     """Run one scheduler until its shutdown is complete, alone or as a node of a cluster."""
 
--- a/tests/server/test_reload.py
+++ b/tests/server/test_reload.py
@@ -4,6 +4,7 @@
 import asyncio
 import copy
 import json
+import signal
 import tempfile
 from pathlib import Path
 from unittest.mock import Mock
@@ -36,13 +37,14 @@
 from pipitshed.scheduling.events import EndpointEntry, EndpointsUpdated, JobSubmitted, UpdateKind
 from pipitshed.scheduling.settings import Idempotency, JobClass, Settings, Tenant, WeightKind
 from pipitshed.server.reload import SettingsReloader
-from pipitshed.server.server import Scheduler
+from pipitshed.server.server import SIGKILL_MARGIN_S, Scheduler
 
 QUOTE, BOOK = (
     JobClass(2500.0, 5000.0, idempotency=Idempotency.IDEMPOTENT),
     JobClass(10000.0, 15000.0, idempotency=Idempotency.IDEMPOTENT_WITH_KEY),
 )
 RUSH = JobClass(500.0, 1000.0)
+SHORT_DEADLINE_S = 1.0
 
 
 def test_a_changed_class_gets_a_new_number_and_a_dropped_class_has_a_grace_period() -> None:
@@ -291,6 +293,25 @@
         assert len(first.runs) + len(second.runs) == 4
 
 
+@async_test
+async def test_after_a_reload_sigterm_closes_connections_by_the_deadlines_in_force() -> None:
+    """Guards against a shutdown timed by the deadlines of the start: connections stayed open past the SIGKILL
+    that the new deadlines allow, and what clients sent on them was lost."""
+    loop = asyncio.get_running_loop()
+    async with Planner("p1") as planner, Catalog(planner) as catalog, program(catalog=catalog) as running:
+        await catalog.watches.get()
+        short = [service | {"deadline": SHORT_DEADLINE_S * 1000} for service in SETTINGS["services"]]
+        running.reload(_file(running.config.read_text(), services=short))
+        await running.logged("settings applied")
+        client = await HttpClient.to(running.port)
+        client.ask("q1")
+        assert (await client.answer())[0] == 200
+        sigterm_at = loop.time()
+        running.process.send_signal(signal.SIGTERM)
+        assert await client.reader.read() == b""
+        assert loop.time() - sigterm_at < SHORT_DEADLINE_S + SIGKILL_MARGIN_S
+
+
 @async_test
 async def test_an_invalid_file_changes_nothing_and_is_counted() -> None:
     async with (
