--- a/pipitshed/server/reload.py
+++ b/pipitshed/server/reload.py
@@ -104,6 +104,8 @@
         settings = replace(settings, classes=self.classes.classes, tenants=tenants, own_zone=own_zone)
         parts.forwarder.apply_settings(settings)
         parts.http_workers.apply_settings(settings.limits, config.report_fields)
+        if parts.translation is not None:
+            parts.translation.grpc_workers.apply_limits(settings.limits)
         self._apply_numbers_to_frontends(now)
         if self.classes.leaving:
             self._loop.call_later(DROPPED_CLASS_GRACE_S, self._drop_expired_classes)
--- a/pipitshed/upstream/grpc/client.py
+++ b/pipitshed/upstream/grpc/client.py
@@ -14,10 +14,13 @@
 from pipitshed.proxy.attempt import Attempt
 from pipitshed.proxy.forwarder import Forwarder
 from pipitshed.proxy.worker_client import Endpoint
+from pipitshed.scheduling.settings import Limits
 from pipitshed.upstream.grpc.connection import GrpcConnection
 from pipitshed.upstream.grpc.stream import GrpcStream
 from pipitshed.upstream.http.pool import IDLE_MARGIN_FRACTION
 
+MS_PER_S = 1000
+
 Header = tuple[bytes, bytes]
 
 _FIXED_HEADERS: list[Header] = [
@@ -48,14 +51,19 @@
         self.on_drain: Callable[[Endpoint], None] = lambda endpoint: forwarder.endpoints.mark_draining(
             endpoint.id
         )
-        limits = forwarder.settings.limits
-        self.idle_timeout_s = limits.idle_timeout_ms / 1000 * (1 - IDLE_MARGIN_FRACTION)
         self.probe_count = 0
         self._classes = classes
-        self._connect_timeout_s = limits.connect_timeout_ms / 1000
         self._connections: dict[Address, GrpcConnection] = {}  # those that accept new streams
         self._all: set[GrpcConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self.apply_limits(forwarder.settings.limits)
+
+    def apply_limits(self, limits: Limits) -> None:
+        """Replace the timeouts; connections that are idle now stay so for the new idle timeout at most."""
+        self.idle_timeout_s = limits.idle_timeout_ms / MS_PER_S * (1 - IDLE_MARGIN_FRACTION)
+        self._connect_timeout_s = limits.connect_timeout_ms / MS_PER_S
+        for connection in self._all:
+            connection.restart_idle_timer()
 
     def start(self, attempt: Attempt) -> None:
         """Start an attempt on the worker's connection."""
--- a/pipitshed/upstream/grpc/connection.py
+++ b/pipitshed/upstream/grpc/connection.py
@@ -374,6 +374,12 @@
         elif self._idle_timer is None:
             self._idle_timer = self._loop.call_later(self.client.idle_timeout_s, self.close)
 
+    def restart_idle_timer(self) -> None:
+        """Let a connection that is idle stay so for the client's present idle timeout, from now on."""
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = self._loop.call_later(self.client.idle_timeout_s, self.close)
+
     # ---- PINGs
 
     def probe(self) -> None:
--- /dev/null
+++ b/tests/server/test_reload_components.py
@@ -0,0 +1,76 @@
+"""Each component follows the values of a file read at SIGHUP that it was built with at the start."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from loopback import SETTINGS
+from test_old_clients import FRONT_TRANSLATION
+
+from pipitshed.config.front import load_front
+from pipitshed.config.platform import Config, load_platform_config
+from pipitshed.server.assembly import Parts
+from pipitshed.server.server import Scheduler
+
+
+class Rig:
+    """A scheduler in this process, and the file that it reads at SIGHUP."""
+
+    def __init__(self, folder: Path, front: str = "", **settings: Any) -> None:
+        self._path = folder / "config.json"
+        config = self._write(settings)
+        front_path = folder / "front.toml"
+        front_path.write_text(front)
+        self._scheduler = Scheduler(config, load_front(front_path, config), asyncio.get_running_loop())
+
+    @property
+    def parts(self) -> Parts:
+        return self._scheduler.parts
+
+    def _write(self, settings: dict[str, Any], **platform: Any) -> Config:
+        content = {"listen": "127.0.0.1:0", "settings": SETTINGS | settings} | platform
+        self._path.write_text(json.dumps(content))
+        return load_platform_config({"LB_CONFIG": str(self._path)})
+
+    def reload(self, **settings: Any) -> None:
+        """Apply a file with these settings."""
+        self._scheduler.reloader.apply(self._write(settings))
+
+    def reload_platform(self, **platform: Any) -> None:
+        """Apply a file with the settings of the start and these keys of the platform."""
+        self._scheduler.reloader.apply(self._write({}, **platform))
+
+    def close(self) -> None:
+        self.parts.close()
+        for listener in self.parts.listeners:
+            listener.close()
+
+
+@contextlib.contextmanager
+def rig_in(folder: Path, front: str = "", **settings: Any) -> Iterator[Rig]:
+    rig = Rig(folder, front, **settings)
+    try:
+        yield rig
+    finally:
+        rig.close()
+
+
+def test_grpc_connections_follow_the_timeouts_of_the_file(tmp_path: Path) -> None:
+    """Guards against gRPC connections that keep the connect and idle timeouts of the start."""
+
+    async def check() -> None:
+        with rig_in(tmp_path, FRONT_TRANSLATION) as rig:
+            assert rig.parts.translation is not None
+            client = rig.parts.translation.grpc_workers
+            before = client.idle_timeout_s, client._connect_timeout_s
+            permissions = SETTINGS["permissions"]
+            rig.reload(permissions=permissions | {"idleClose": 3000.0, "connectTimeout": 25.0})
+            after = client.idle_timeout_s, client._connect_timeout_s
+            assert after == (before[0] / 10, before[1] / 10)
+
+    asyncio.run(check())
--- a/tests/upstream/test_grpc_client.py
+++ b/tests/upstream/test_grpc_client.py
@@ -1,6 +1,7 @@
 """Attempts over gRPC to a scripted worker: a test for each line of docs/design/translation.md's table."""
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 import h2.errors
@@ -434,3 +435,14 @@
             rig.submit("book", hazard)
         await older.call(10)
         assert not newer.calls and rig.forwarder.counters["attempt MOOT"] == 0
+
+
+@async_test
+async def test_a_shorter_idle_timeout_applies_to_an_idle_connection() -> None:
+    """Guards against a connection that stays idle longer than the new settings allow: the worker closes it
+    first, and counts as draining by its GOAWAY."""
+    async with GrpcPlanner(act=Call.done) as planner, forwarder_rig(planner) as rig:
+        assert (await rig.submit("quote").outcome())[0] == "served"
+        limits = rig.forwarder.settings.limits
+        rig.worker_client.apply_limits(replace(limits, idle_timeout_ms=20.0))
+        await asyncio.wait_for(planner.peers[0].lost.wait(), limits.idle_timeout_ms / 1000 / 10)
