--- a/pipitshed/discovery/placement_plan.py
+++ b/pipitshed/discovery/placement_plan.py
@@ -52,6 +52,10 @@
         else:
             log.info("plan %s: following plan number %d", self._path.name, plan.number)
 
+    def apply_settings(self, zone: str, slow_start_ms: float) -> None:
+        """Replace the scheduler's zone and the time during which a planner counts as cold."""
+        self.follower.zone, self.follower.slow_start_ms = zone, slow_start_ms
+
     def _step(self) -> None:
         self._timer = self._loop.call_later(STEP_INTERVAL_S, self._step)
         self.apply_weights()
--- a/pipitshed/server/reload.py
+++ b/pipitshed/server/reload.py
@@ -13,7 +13,7 @@
 from pipitshed.config.platform import Config, load_platform_config, with_settings
 from pipitshed.discovery.catalog import update_size_limit
 from pipitshed.scheduling.settings import JobClass
-from pipitshed.server.assembly import Parts, apply_discovery_timeouts
+from pipitshed.server.assembly import Parts, apply_discovery_timeouts, own_zone_name
 
 TIMER_MARGIN_S = 0.001  # added after the grace period of a class, as a timer may fire early
 
@@ -40,10 +40,14 @@
     def reload(self) -> None:
         """Read the configuration file again, apply its settings, and use its discovery address.
 
-        Requests, attempts and the endpoint table are kept, and each request keeps its class.
+        Requests, attempts and the endpoint table are kept, and each request keeps its class. The placement
+        plan is read last, as it is checked against the zone of the settings in force.
         """
+        self._reload_config()
         if self._parts.placement_plan is not None:
             self._parts.placement_plan.read()
+
+    def _reload_config(self) -> None:
         # An incomplete or invalid file must not end the process: the configuration in force is kept.
         try:
             config = load_platform_config()
@@ -96,8 +100,10 @@
         self.classes, changes = self.classes.updated(config.classes, classes, now)
         has_new_numbers = len(self.classes.names) > len(names.classes)
         names.classes[:] = self.classes.names
-        if parts.placement_plan is not None and has_new_numbers:
-            parts.placement_plan.apply_weights()
+        if parts.placement_plan is not None:
+            parts.placement_plan.apply_settings(own_zone_name(config), settings.guarantees.slow_start_ms)
+            if has_new_numbers:
+                parts.placement_plan.apply_weights()
         registry = names.tenants.updated(config.tenants)
         parts.names = replace(names, tenants=registry)
         tenants = registry.by_number(settings.tenants)
--- a/tests/server/test_reload_components.py
+++ b/tests/server/test_reload_components.py
@@ -5,15 +5,20 @@
 import asyncio
 import contextlib
 import json
+import os
+import time
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 from loopback import SETTINGS
 from test_old_clients import FRONT_TRANSLATION
 
 from pipitshed.config.front import load_front
 from pipitshed.config.platform import Config, load_platform_config
+from pipitshed.placement import plan as plans
+from pipitshed.placement.plan import Plan, PlannerEntry
 from pipitshed.server.assembly import Parts
 from pipitshed.server.server import Scheduler
 
@@ -45,6 +50,12 @@
         """Apply a file with the settings of the start and these keys of the platform."""
         self._scheduler.reloader.apply(self._write({}, **platform))
 
+    def sighup(self, **settings: Any) -> None:
+        """Write a file with these settings, and do what SIGHUP does."""
+        self._write(settings)
+        with patch.dict(os.environ, {"LB_CONFIG": str(self._path)}):
+            self._scheduler.reloader.reload()
+
     def close(self) -> None:
         self.parts.close()
         for listener in self.parts.listeners:
@@ -74,3 +85,26 @@
             assert after == (before[0] / 10, before[1] / 10)
 
     asyncio.run(check())
+
+
+def plan_for(zone: str, number: int) -> bytes:
+    planners = {"p1": PlannerEntry(zone, "fast", 4.0)}
+    return plans.write(Plan(1, number, time.time(), 600.0, 1000, planners, {f"{zone}/quote": {"p1": 1000}}))
+
+
+def test_a_plan_is_followed_for_the_zone_and_the_slow_start_of_the_file(tmp_path: Path) -> None:
+    """Guards against a plan source that keeps the zone and the slow start of the start: it turned down the
+    plan of the new zone, and gave cold planners their whole part."""
+
+    async def check() -> None:
+        plan_path = tmp_path / "plan.json"
+        plan_path.write_bytes(plan_for("lima-norte", 1))
+        with rig_in(tmp_path, '[placement]\nplan = "plan.json"\n') as rig:
+            assert rig.parts.placement_plan is not None
+            follower = rig.parts.placement_plan.follower
+            plan_path.write_bytes(plan_for("arequipa", 2))
+            rig.sighup(locality=1, rules=SETTINGS["rules"] | {"cold": 8800.0})
+            assert follower.plan is not None and follower.plan.number == 2
+            assert follower.slow_start_ms == rig.parts.forwarder.settings.guarantees.slow_start_ms == 8800.0
+
+    asyncio.run(check())
