--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -64,7 +64,7 @@
         self._rng = random.Random(f"traffic:{scenario.seed}")
         self._http, self._gearman = HttpClients(running.http), GearmanClients(running.gearman)
         budget = DescriptorBudget(scenario.sockets)
-        self._connection_limits = {"http": budget.http_client_count, "gearman": budget.gearman_peer_count}
+        self._connection_limits = {"http": budget.max_http_clients(), "gearman": budget.max_gearman_peers()}
         self._request_tasks: set[asyncio.Task[None]] = set()
         self._fault_lock = asyncio.Lock()
         self._started_at = monotonic()
--- a/pipitshed/frontends/gearman/frontend.py
+++ b/pipitshed/frontends/gearman/frontend.py
@@ -58,7 +58,7 @@
         tenants: TenantNumbers,
         loop: asyncio.AbstractEventLoop,
         label: str,
-        max_connections: int,
+        max_connections: Callable[[], int],
         shutdown: Callable[[], None],
     ) -> None:
         self.forwarder = forwarder
@@ -104,7 +104,7 @@
 
     def may_accept(self, pending: int) -> bool:
         """Whether another connection may be accepted, with `pending` ones still being set up."""
-        return len(self.connections) + pending < self._max_connections
+        return len(self.connections) + pending < self._max_connections()
 
     def close(self) -> None:
         """Close all connections; called when no job is open."""
--- a/pipitshed/frontends/http/frontend.py
+++ b/pipitshed/frontends/http/frontend.py
@@ -24,7 +24,7 @@
         self,
         forwarder: Forwarder,
         parser: RequestParser,
-        max_connections: int,
+        max_connections: Callable[[], int],
         loop: asyncio.AbstractEventLoop,
         ready: Callable[[], bool],
     ) -> None:
@@ -53,7 +53,7 @@
         """
         new_connection.last_received_at = self.loop.time()
         self.connections[new_connection] = self.awaiting_first_request[new_connection] = None
-        if len(self.connections) > self._max_connections:
+        if len(self.connections) > self._max_connections():
             evicted = self._eviction_candidate(new_connection)
             if evicted is not None:
                 evicted.drop()
@@ -86,7 +86,7 @@
         attempts and discovery need.
         """
         count = len(self.connections) + len(self.closing) + pending
-        return count < self._max_connections * HARD_LIMIT_FACTOR
+        return count < self._max_connections() * HARD_LIMIT_FACTOR
 
     def forget(self, connection: HttpConnection) -> None:
         """Remove a connection that carries no more requests."""
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -133,7 +133,7 @@
     http_frontend = HttpFrontend(
         forwarder,
         RequestParser(forwarder, config.classes, tenants.accepted(), translator),
-        descriptors.http_client_count,
+        descriptors.max_http_clients,
         loop,
         server.ready,
     )
@@ -306,7 +306,6 @@
         loop,
     )
     label = f"{config.name or 'pipitshed'}-{config.seed & INSTANCE_ID_MASK:08x}"
-    peer_count = parts.descriptors.gearman_peer_count
     return GearmanFrontend(
         parts.forwarder,
         workers,
@@ -315,7 +314,7 @@
         parts.names.tenants.accepted(),
         loop,
         label,
-        peer_count,
+        parts.descriptors.max_gearman_peers,
         server.drain,
     )
 
--- a/pipitshed/server/descriptors.py
+++ b/pipitshed/server/descriptors.py
@@ -24,13 +24,11 @@
         self._http: HttpFrontend | None = None
         self._gearman: GearmanFrontend | None = None
 
-    @property
-    def http_client_count(self) -> int:
+    def max_http_clients(self) -> int:
         """The maximum number of HTTP client connections."""
         return int(self.descriptor_count * HTTP_CLIENTS_FRACTION)
 
-    @property
-    def gearman_peer_count(self) -> int:
+    def max_gearman_peers(self) -> int:
         """The maximum number of connections of Gearman clients and workers."""
         return int(self.descriptor_count * GEARMAN_FRACTION)
 
--- a/tests/frontends/test_rare_moments.py
+++ b/tests/frontends/test_rare_moments.py
@@ -226,7 +226,7 @@
         loop = asyncio.get_running_loop()
         forwarder, reading, transport = Mock(), Mock(), Mock()
         transport.is_closing.return_value = False
-        front = HttpFrontend(forwarder, reading, 10, loop, lambda: True)
+        front = HttpFrontend(forwarder, reading, lambda: 10, loop, lambda: True)
         reading.request.side_effect = lambda *arguments: Mock(id="a")
         client = front.connection()
         client.connection_made(transport)
--- a/tests/server/test_reload_components.py
+++ b/tests/server/test_reload_components.py
@@ -12,14 +12,16 @@
 from typing import Any
 from unittest.mock import patch
 
-from loopback import SETTINGS
+from loopback import FRONT, SETTINGS
 from test_old_clients import FRONT_TRANSLATION
 
 from pipitshed.config.front import load_front
 from pipitshed.config.platform import Config, load_platform_config
+from pipitshed.frontends.http.frontend import HARD_LIMIT_FACTOR
 from pipitshed.placement import plan as plans
 from pipitshed.placement.plan import Plan, PlannerEntry
 from pipitshed.server.assembly import Parts
+from pipitshed.server.descriptors import GEARMAN_FRACTION, HTTP_CLIENTS_FRACTION
 from pipitshed.server.server import Scheduler
 
 
@@ -108,3 +110,23 @@
             assert follower.slow_start_ms == rig.parts.forwarder.settings.guarantees.slow_start_ms == 8800.0
 
     asyncio.run(check())
+
+
+def test_the_limits_of_client_connections_follow_the_descriptors_of_the_file(tmp_path: Path) -> None:
+    """Guards against frontends that keep the limits of the start: with fewer descriptors, clients could
+    take those that attempts need."""
+
+    async def check() -> None:
+        with rig_in(tmp_path, FRONT) as rig:
+            http, gearman = rig.parts.http_frontend, rig.parts.gearman_frontend
+            assert gearman is not None
+            for descriptor_count in (256, 1024):
+                rig.reload_platform(limits={"sockets": descriptor_count})
+                for frontend, fraction in (
+                    (http, HTTP_CLIENTS_FRACTION * HARD_LIMIT_FACTOR),
+                    (gearman, GEARMAN_FRACTION),
+                ):
+                    limit = int(descriptor_count * fraction)
+                    assert frontend.may_accept(limit - 1) and not frontend.may_accept(limit + 1)
+
+    asyncio.run(check())
