--- a/pipitshed/discovery/catalog/client.py
+++ b/pipitshed/discovery/catalog/client.py
@@ -60,7 +60,7 @@
         self.version = 0  # of the known list
         self.received_any = False  # an update has arrived since the start
         self.unreachable = False  # the last call that ended could not connect
-        self.connect_timeout_s, self.response_timeout_s = CONNECT_TIMEOUT_S, RESPONSE_TIMEOUT_S
+        self.use_default_timeouts()
         self.counters: Counter[str] = Counter()
         self.active_calls = 0
         self._idle_since = math.inf  # loop time since which no call is in progress
@@ -71,7 +71,11 @@
         self._rows: list[EndpointRow] = []  # those already parsed of the first pending update
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def set_timeouts(self, grace_s: float) -> None:
+    def use_default_timeouts(self) -> None:
+        """Use the timeouts for a list that the scheduler polls."""
+        self.connect_timeout_s, self.response_timeout_s = CONNECT_TIMEOUT_S, RESPONSE_TIMEOUT_S
+
+    def use_push_timeouts(self, grace_s: float) -> None:
         """Shorten the timeouts for a list that is pushed to an agent on this machine.
 
         The scheduler counts as informed of a pushed list once the agent has it. The agent does not queue
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -202,12 +202,14 @@
 
 
 def apply_discovery_timeouts(discovery: CatalogClient, settings: Settings) -> None:
-    """Shorten the timeouts of discovery calls where the endpoint list is pushed.
+    """Shorten the timeouts of discovery calls where, and only while, the endpoint list is pushed.
 
     A call that hangs would delay the list beyond the drain grace period.
     """
     if settings.endpoints_pushed:
-        discovery.set_timeouts(settings.guarantees.drain_grace_ms / 1000)
+        discovery.use_push_timeouts(settings.guarantees.drain_grace_ms / 1000)
+    else:
+        discovery.use_default_timeouts()
 
 
 def build_dns_sd(
--- a/tests/server/test_reload_components.py
+++ b/tests/server/test_reload_components.py
@@ -17,6 +17,7 @@
 
 from pipitshed.config.front import load_front
 from pipitshed.config.platform import Config, load_platform_config
+from pipitshed.discovery.catalog.client import CONNECT_TIMEOUT_S, RESPONSE_TIMEOUT_S
 from pipitshed.frontends.http.frontend import HARD_LIMIT_FACTOR
 from pipitshed.placement import plan as plans
 from pipitshed.placement.plan import Plan, PlannerEntry
@@ -40,7 +41,8 @@
         return self._scheduler.parts
 
     def _write(self, settings: dict[str, Any], **platform: Any) -> Config:
-        content = {"listen": "127.0.0.1:0", "settings": SETTINGS | settings} | platform
+        content = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"} | platform
+        content["settings"] = SETTINGS | settings
         self._path.write_text(json.dumps(content))
         return load_platform_config({"LB_CONFIG": str(self._path)})
 
@@ -130,3 +132,23 @@
                     assert frontend.may_accept(limit - 1) and not frontend.may_accept(limit + 1)
 
     asyncio.run(check())
+
+
+def test_calls_to_discovery_have_the_timeouts_of_a_pushed_list_only_while_it_is_pushed(
+    tmp_path: Path,
+) -> None:
+    """Guards against short timeouts that outlast the file that asked for them: a busy discovery, which queues
+    the calls of a polled list, would never be heard out."""
+
+    async def check() -> None:
+        with rig_in(tmp_path) as rig:
+            assert rig.parts.discovery is not None
+            timeouts_s = []
+            for kind in ("pushed", "on_request"):
+                rig.sighup(discovery=kind)
+                timeouts_s.append(
+                    (rig.parts.discovery.connect_timeout_s, rig.parts.discovery.response_timeout_s)
+                )
+            assert timeouts_s[0] < timeouts_s[1] == (CONNECT_TIMEOUT_S, RESPONSE_TIMEOUT_S)
+
+    asyncio.run(check())
