--- a/pipitshed/frontends/gearman/frontend.py
+++ b/pipitshed/frontends/gearman/frontend.py
@@ -79,7 +79,7 @@
     def apply_settings(self, classes: Mapping[str, int], tenants: TenantNumbers) -> None:
         """Replace the numbers of classes and tenants; they apply to jobs submitted from now on."""
         self._classes, self._tenants = classes, tenants
-        self.worker_client.class_numbers_changed()
+        self.worker_client.settings_changed()
 
     def parameters(self, function_name: str) -> SubmissionParameters | None:
         """The parameters of a job submitted now; None if its function or its class is not accepted."""
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -292,9 +292,8 @@
     functions = gearman_functions(parts, front)
     class_names = parts.names.classes
     zones, kinds = parts.names.zones, parts.names.kinds
-    zone = zones.index(front.gearman_workers.zone) if front.gearman_workers.zone else config.settings.own_zone
     location = WorkerLocation(
-        zone,
+        zones.index(front.gearman_workers.zone) if front.gearman_workers.zone else None,
         front.gearman_workers.cell,
         kinds.index(front.gearman_workers.kind),
         front.gearman_workers.weight,
--- a/pipitshed/upstream/gearman.py
+++ b/pipitshed/upstream/gearman.py
@@ -56,9 +56,12 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerLocation:
-    """Zone, cell, machine kind and weight of all Gearman workers, as the front file sets them."""
+    """Zone, cell, machine kind and weight of all Gearman workers, as the front file sets them.
 
-    zone: int = 0
+    Without a zone they are in that of the scheduler, which a reload may change.
+    """
+
+    zone: int | None = None
     cell: int = 0
     kind: int = 0
     weight: float = 1.0
@@ -283,8 +286,8 @@
             None,
         )
 
-    def class_numbers_changed(self) -> None:
-        """Update the endpoint table after a reload, in which a changed class gets another number."""
+    def settings_changed(self) -> None:
+        """Update the endpoint table after a reload: a changed class gets another number."""
         for worker in list(self.workers):
             self.list_worker(worker)
 
@@ -321,7 +324,7 @@
         location = self._location
         entry = EndpointEntry(
             worker.endpoint.id,
-            location.zone,
+            self.forwarder.settings.own_zone if location.zone is None else location.zone,
             location.cell,
             location.kind,
             location.weight,
--- a/tests/server/test_reload_components.py
+++ b/tests/server/test_reload_components.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 from loopback import FRONT, SETTINGS
 from test_old_clients import FRONT_TRANSLATION
@@ -21,6 +21,7 @@
 from pipitshed.frontends.http.frontend import HARD_LIMIT_FACTOR
 from pipitshed.placement import plan as plans
 from pipitshed.placement.plan import Plan, PlannerEntry
+from pipitshed.protocols.gearman import PacketType
 from pipitshed.server.assembly import Parts
 from pipitshed.server.descriptors import GEARMAN_FRACTION, HTTP_CLIENTS_FRACTION
 from pipitshed.server.server import Scheduler
@@ -152,3 +153,21 @@
             assert timeouts_s[0] < timeouts_s[1] == (CONNECT_TIMEOUT_S, RESPONSE_TIMEOUT_S)
 
     asyncio.run(check())
+
+
+def test_gearman_workers_without_a_zone_of_their_own_are_in_that_of_the_file(tmp_path: Path) -> None:
+    """Guards against workers that stay listed in the scheduler's zone of the start: their bookings would be
+    repeated there."""
+
+    async def check() -> None:
+        front = FRONT.replace('zone = "lima-norte"', "")
+        with rig_in(tmp_path, front) as rig:
+            assert rig.parts.gearman_frontend is not None
+            worker = rig.parts.gearman_frontend.worker_client.worker(Mock())
+            worker.handle(PacketType.CAN_DO, [b"book_pallet"])
+            [before] = rig.parts.forwarder.endpoints.entries()
+            rig.reload(locality=1)
+            [after] = rig.parts.forwarder.endpoints.entries()
+            assert (before.zone, after.zone) == (0, 1)
+
+    asyncio.run(check())
