--- a/pipitshed/config/class_registry.py
+++ b/pipitshed/config/class_registry.py
@@ -68,9 +68,9 @@
         """The registry of the first file, whose classes are numbered in the file's order."""
         return cls(tuple(classes), tuple(names), {name: number for number, name in enumerate(names)})
 
-    def in_force(self) -> list[JobClass]:
-        """The classes of the file in force."""
-        return [self.classes[number] for number in self.accepted.values()]
+    def dropped(self) -> frozenset[int]:
+        """The numbers of classes that the file in force lacks, or defines otherwise."""
+        return frozenset(range(len(self.classes))).difference(self.accepted.values())
 
     def number(self, name: str, now: float) -> int | None:
         """The number for a job of this class at loop time `now`; None where it is not accepted then."""
--- a/pipitshed/scheduling/admission.py
+++ b/pipitshed/scheduling/admission.py
@@ -57,7 +57,7 @@
         new_counts = (DecayingCount(TENANT_TRAFFIC_TIME_CONSTANT_MS) for _ in settings.tenants)
         self.tenant_counts = [*self.tenant_counts, *new_counts][: len(settings.tenants)]
         self._quota_share_sum = sum(tenant.quota_share for tenant in settings.tenants) or 1.0
-        self._min_priority_weight = min(cls.priority_weight for cls in settings.classes) or 1.0
+        self._min_priority_weight = min(cls.priority_weight for cls in settings.classes_in_force()) or 1.0
 
     def rejection_reason(self, job: Job, tenant: int, now_ms: float) -> AnswerReason | None:
         """The reason for which a new job is shed; None where it is admitted.
--- a/pipitshed/scheduling/settings.py
+++ b/pipitshed/scheduling/settings.py
@@ -113,7 +113,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """All settings of a dispatcher."""
+    """All settings of a dispatcher.
+
+    Attributes:
+        dropped_classes: The numbers of classes of earlier settings; only jobs in progress have them.
+    """
 
     classes: tuple[JobClass, ...]
     tenants: tuple[Tenant, ...] = ()
@@ -131,3 +135,8 @@
     progress_interval_ms: float = 0.0
     report_fields: tuple[str, ...] = ()
     weight_by_work: bool = False
+    dropped_classes: frozenset[int] = frozenset()
+
+    def classes_in_force(self) -> list[JobClass]:
+        """The classes that new jobs may have."""
+        return [cls for number, cls in enumerate(self.classes) if number not in self.dropped_classes]
--- a/pipitshed/server/reload.py
+++ b/pipitshed/server/reload.py
@@ -107,7 +107,13 @@
         registry = names.tenants.updated(config.tenants)
         parts.names = replace(names, tenants=registry)
         tenants = registry.by_number(settings.tenants)
-        settings = replace(settings, classes=self.classes.classes, tenants=tenants, own_zone=own_zone)
+        settings = replace(
+            settings,
+            classes=self.classes.classes,
+            dropped_classes=self.classes.dropped(),
+            tenants=tenants,
+            own_zone=own_zone,
+        )
         parts.forwarder.apply_settings(settings)
         parts.http_workers.apply_settings(settings.limits, config.report_fields)
         if parts.translation is not None:
--- a/pipitshed/server/server.py
+++ b/pipitshed/server/server.py
@@ -149,7 +149,7 @@
 
         It depends on the deadlines of the settings in force: where they are short, SIGKILL comes sooner.
         """
-        longest_s = _longest_deadline_s(self.reloader.classes.in_force())
+        longest_s = _longest_deadline_s(self.parts.forwarder.settings.classes_in_force())
         return min(longest_s, LONGEST_DEADLINE_MAX_S) + SIGKILL_MARGIN_S - ANSWER_BEFORE_SIGKILL_S
 
     def _stop_listening(self) -> None:
--- a/tests/server/test_reload_components.py
+++ b/tests/server/test_reload_components.py
@@ -12,6 +12,7 @@
 from typing import Any
 from unittest.mock import Mock, patch
 
+import pytest
 from loopback import FRONT, SETTINGS
 from test_old_clients import FRONT_TRANSLATION
 
@@ -22,6 +23,8 @@
 from pipitshed.placement import plan as plans
 from pipitshed.placement.plan import Plan, PlannerEntry
 from pipitshed.protocols.gearman import PacketType
+from pipitshed.scheduling.events import JobSubmitted
+from pipitshed.scheduling.retry_policy import ALLOWED_FAILURE_PROBABILITY
 from pipitshed.server.assembly import Parts
 from pipitshed.server.descriptors import GEARMAN_FRACTION, HTTP_CLIENTS_FRACTION
 from pipitshed.server.server import Scheduler
@@ -171,3 +174,25 @@
             assert (before.zone, after.zone) == (0, 1)
 
     asyncio.run(check())
+
+
+def test_the_least_priority_weight_is_that_of_the_classes_in_force(tmp_path: Path) -> None:
+    """Guards against classes that a file has dropped, but whose priority weight still sets the probability
+    with which all attempts of other classes' jobs may fail."""
+
+    async def check() -> None:
+        quote, book = SETTINGS["services"]
+        with rig_in(tmp_path, services=[quote | {"gain": 0.5}, book | {"gain": 8.0}]) as rig:
+            dispatcher = rig.parts.forwarder._dispatcher
+            for number, services in enumerate(([quote | {"gain": 4.0}, book | {"gain": 8.0}], [book])):
+                rig.reload(services=services)
+                settings = rig.parts.forwarder.settings
+                job_class = max(settings.classes_in_force(), key=lambda one: one.priority_weight)
+                submitted = JobSubmitted(number, 5000.0, job_class=settings.classes.index(job_class))
+                dispatcher.handle(1000.0, [submitted])
+            assert [job.allowed_failure_probability for job in dispatcher.jobs.values()] == [
+                pytest.approx(ALLOWED_FAILURE_PROBABILITY / 2),
+                ALLOWED_FAILURE_PROBABILITY,
+            ]
+
+    asyncio.run(check())
