--- a/pipitshed/upstream/grpc/client.py
+++ b/pipitshed/upstream/grpc/client.py
@@ -133,6 +133,7 @@
             connection = self._connections[endpoint.address] = GrpcConnection(self, endpoint)
             self._all.add(connection)
             self._spawn(self._connect(connection))
+        connection.endpoint = endpoint  # the list may have given the address to another worker
         return connection
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/tests/upstream/test_grpc_client.py
+++ b/tests/upstream/test_grpc_client.py
@@ -446,3 +446,23 @@
         limits = rig.forwarder.settings.limits
         rig.worker_client.apply_limits(replace(limits, idle_timeout_ms=20.0))
         await asyncio.wait_for(planner.peers[0].lost.wait(), limits.idle_timeout_ms / 1000 / 10)
+
+
+@async_test
+async def test_a_drain_is_that_of_the_worker_which_the_list_has_at_the_address() -> None:
+    """Guards against a connection that reports for the first worker of its address: after the list had named
+    the worker anew, its drain notice was lost."""
+    async with GrpcPlanner("first", act=Call.done) as planner, forwarder_rig(planner) as rig:
+        assert (await rig.submit().outcome())[0] == "served"
+        rig.list_workers(planner, state=EndpointState.REMOVED)
+        planner.name = "second"
+        rig.list_workers(planner)
+        planner.act = no_answer
+        rig.submit()
+        call = await planner.call(2)
+        assert len(planner.peers) == 1
+        call.peer.goaway(call.stream_id)
+        call.done()
+        await call.peer.lost.wait()
+        workers = rig.forwarder._dispatcher.workers
+        assert rig.forwarder.endpoints.is_marked_draining(b"second") and not workers[b"second"].ready
