--- a/pipitshed/scheduling/dispatcher.py
+++ b/pipitshed/scheduling/dispatcher.py
@@ -22,16 +22,15 @@
     WatchEndpoints,
 )
 from pipitshed.scheduling.admission import AdmissionControl
+from pipitshed.scheduling.attempt_recorder import AttemptRecorder
 from pipitshed.scheduling.attempt_watchdog import StartOverdueAction
 from pipitshed.scheduling.capacity_estimate import (
     LoadEstimate,
     ServiceStatistics,
-    missed_objective,
     new_attempt_window,
 )
 from pipitshed.scheduling.endpoint_list import EndpointList
 from pipitshed.scheduling.events import (
-    NOT_EXECUTED_OUTCOMES,
     AttemptFinished,
     AttemptProgressed,
     ConnectionLost,
@@ -40,7 +39,6 @@
     Event,
     JobSubmitted,
     JobWithdrawn,
-    Outcome,
     ProgressKind,
     ResponseStarted,
     TimerFired,
@@ -72,6 +70,9 @@
         self.selector = WorkerSelector(
             settings, self.endpoints, self.window, self.load, self.statistics, self.rng
         )
+        self.recorder = AttemptRecorder(
+            settings, self.endpoints, self.window, self.load, self.statistics, self.rng
+        )
         self._timers: dict[int, int | None] = {}  # job id by token; None for the poll schedule
         self._last_token = 0
         self._handlers: dict[type, Callable[[Any], None]] = {
@@ -98,6 +99,7 @@
         self.statistics.add_classes(len(settings.classes))
         self.admission.apply_settings(settings)
         self.selector.settings = settings
+        self.recorder.settings = settings
 
     def handle(self, now_ms: float, events: Iterable[Event]) -> list[Action]:
         """Handle the events received by `now_ms`; the returned actions are to be carried out at that time."""
@@ -195,25 +197,12 @@
         now_ms = self.now_ms
         attempt = Attempt(worker, now_ms)
         job.attempts.append(attempt)
-        worker.in_flight_count += 1
         self.waiting.pop(job.id, None)
-        idle_ms = now_ms - worker.idle_connection_at_ms
-        worker.idle_connection_count = (
-            max(0, worker.idle_connection_count - 1) if idle_ms < self.settings.limits.idle_timeout_ms else 0
-        )
+        self.recorder.dispatched(job, attempt, now_ms)
         write_within_ms = retry_policy.write_within_ms(job, self.settings.tick_ms, now_ms)
         self.actions.append(StartAttempt(job.id, worker.id, write_within_ms=write_within_ms))
         if self.settings.workers_report_start:
-            worker.unstarted_count += 1
             self._wake_at(job, now_ms + self._start_timeout_ms(job))
-            return
-        # Starts are not reported, so the attempt counts as running from now on. With load reports, the slots
-        # that this dispatcher's jobs use show a lack of capacity early; without them only late answers do.
-        attempt.started = True
-        attempt.capacity_recorded = self.load.total_slots > 0
-        if attempt.capacity_recorded:
-            self.window.add(now_ms, self.load.is_crowded(worker))
-        worker.reserved_slots += job.slots
 
     def _back_off(self, job: Job) -> None:
         job.resume_at_ms = self.now_ms + retry_policy.backoff_ms(job, self.rng)
@@ -264,10 +253,7 @@
 
     def _handle_start_overdue(self, job: Job, in_flight: list[Attempt]) -> None:
         for attempt in in_flight:
-            if not attempt.capacity_recorded:
-                attempt.capacity_recorded = True
-                self._record_no_capacity(attempt.worker)
-                job.no_capacity_count += 1
+            self.recorder.start_overdue(job, attempt, self.now_ms)
         action = attempt_watchdog.start_overdue_action(job, self.settings.limits, self.window, self.now_ms)
         if action is StartOverdueAction.ADD_ATTEMPT:
             self._try_attempt(job)
@@ -286,7 +272,7 @@
         job.min_allowed_attempts = len(job.attempts) + 1
         for attempt in started:
             if not attempt.cancelled:
-                self._record_no_capacity(attempt.worker)
+                self.recorder.stalled(attempt, self.now_ms)
                 self._cancel(job, attempt)
 
     def _cancel(self, job: Job, attempt: Attempt) -> None:
@@ -294,35 +280,16 @@
             attempt.cancelled = True
             self.actions.append(CancelAttempt(job.id, job.attempts.index(attempt)))
 
-    def _record_no_capacity(self, worker: Worker, rejected: bool = False) -> None:
-        self.window.add(self.now_ms, True, rejected)
-        outlier_ejection.eject_for_no_capacity(worker, self.now_ms, self.rng)
-
-    def _record_capacity(self, worker: Worker, late: bool = False) -> None:
-        self.window.add(self.now_ms, late)
-        outlier_ejection.end_capacity_ejection(worker)
-
     def _on_attempt_progressed(self, event: AttemptProgressed) -> None:
         job_and_attempt = self._find_attempt(event.job_id, event.attempt_index)
         if job_and_attempt is None:
             return
         job, attempt = job_and_attempt
         if event.kind == ProgressKind.STARTED and not attempt.started:
-            attempt.started = True
-            attempt.started_at_ms = attempt.last_progress_at_ms = self.now_ms
-            attempt.worker.unstarted_count = max(0, attempt.worker.unstarted_count - 1)
-            attempt.worker.reserved_slots += job.slots
-            if not attempt.capacity_recorded:
-                self._record_capacity(attempt.worker)
-            attempt.capacity_recorded = True
+            self.recorder.started(job, attempt, self.now_ms)
             self._advance(job)
         elif event.kind == ProgressKind.PROGRESS:
-            attempt.last_progress_at_ms = self.now_ms
-            self._record_speed(job, attempt, event.done_fraction)
-
-    def _record_speed(self, job: Job, attempt: Attempt, done_fraction: float) -> None:
-        if self.settings.workers_report_start:
-            self.statistics.record_speed(job, attempt, done_fraction, self.now_ms)
+            self.recorder.progressed(job, attempt, event.done_fraction, self.now_ms)
 
     def _on_response_started(self, event: ResponseStarted) -> None:
         job = self.jobs.get(event.job_id)
@@ -340,8 +307,7 @@
         if job_and_attempt is None or not job_and_attempt[1].in_flight:
             return
         job, attempt = job_and_attempt
-        self._release(job, attempt, event)
-        self._record_outcome(job, attempt, event)
+        self.recorder.finished(job, attempt, event, self.now_ms)
         if event.answered and not job.finished:
             self._finish(job)
         elif job.finished:
@@ -354,48 +320,6 @@
                 self._apply_pushback(job, attempt.worker, event.pushback_ms)
             self._advance(job)
 
-    def _release(self, job: Job, attempt: Attempt, event: AttemptFinished) -> None:
-        """Release the slots and the connection that the attempt used at its worker."""
-        worker = attempt.worker
-        attempt.in_flight = False
-        worker.in_flight_count -= 1
-        attempt.not_executed = event.outcome in NOT_EXECUTED_OUTCOMES
-        job.served = job.served or event.outcome is Outcome.OK
-        self.load.record_report(worker, event.load_report)
-        if attempt.started:
-            worker.reserved_slots = max(0.0, worker.reserved_slots - job.slots)
-        else:
-            worker.unstarted_count = max(0, worker.unstarted_count - 1)
-        if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
-            worker.idle_connection_count += 1
-            worker.idle_connection_at_ms = self.now_ms
-
-    def _record_outcome(self, job: Job, attempt: Attempt, event: AttemptFinished) -> None:
-        """Update the capacity estimate and the worker's state from the outcome."""
-        worker = attempt.worker
-        if attempt.not_executed and not self.endpoints.takes_class(worker, job.class_index):
-            job.departed_worker_count += 1  # this does not show a lack of capacity
-        if event.outcome in (Outcome.REJECTED, Outcome.CONNECT_FAILED):
-            if not attempt.capacity_recorded or not self.settings.workers_report_start:
-                self._record_no_capacity(worker, event.outcome is Outcome.REJECTED)
-            job.no_capacity_count += 1
-        elif event.outcome is Outcome.ERROR:
-            outlier_ejection.eject_for_error(worker, job.id, self.now_ms)
-            job.error_count += 1  # the attempt window ignores errors, so this count allows a further attempt
-        elif event.outcome is Outcome.RESET:
-            job.reset_count += 1  # likewise: a stale connection, or a worker that crashed
-        elif event.outcome is Outcome.OK:
-            self._record_served(job, attempt, event.elapsed_ms)
-
-    def _record_served(self, job: Job, attempt: Attempt, elapsed_ms: float) -> None:
-        service_time_ms = self.now_ms - attempt.started_at_ms if attempt.started else elapsed_ms
-        self.statistics.record_served(job, service_time_ms, self.settings.weight_by_work)
-        self._record_speed(job, attempt, 1.0)
-        outlier_ejection.decrement_error_count(attempt.worker)
-        if not attempt.capacity_recorded:
-            late = missed_objective(job, service_time_ms)
-            self._record_capacity(attempt.worker, late and not self.settings.workers_report_start)
-
     def _apply_pushback(self, job: Job, worker: Worker, pushback_ms: float) -> None:
         """Delay the next attempt as the worker requests; give the job up if that leaves it no attempt."""
         job.resume_at_ms = max(job.resume_at_ms, self.now_ms + pushback_ms)
