--- a/pipitshed/server/reload.py
+++ b/pipitshed/server/reload.py
@@ -12,7 +12,7 @@
 from pipitshed.config.errors import ConfigError
 from pipitshed.config.platform import Config, load_platform_config, with_settings
 from pipitshed.discovery.catalog import update_size_limit
-from pipitshed.scheduling.settings import JobClass
+from pipitshed.scheduling.settings import JobClass, Settings
 from pipitshed.server.assembly import Parts, apply_discovery_timeouts, own_zone_name
 
 TIMER_MARGIN_S = 0.001  # added after the grace period of a class, as a timer may fire early
@@ -91,39 +91,52 @@
     def apply(self, config: Config) -> ClassChanges:
         """Apply the settings of a complete file, or of a file with rows applied to it."""
         now = self._loop.time()
-        parts, names = self._parts, self._parts.names
-        settings = config.settings
-        # The file may list zones, kinds and report fields in another order than at the start. Workers in the
-        # endpoint table keep the zone and kind numbers of the start; reports use the new order of fields.
-        own_zone = names.zones.index(config.zones[settings.own_zone]) if config.zones else settings.own_zone
-        classes = [self._with_first_kind_number(job_class, config) for job_class in settings.classes]
+        number_count = len(self.classes.names)
+        changes = self._number_classes_and_tenants(config, now)
+        self._apply_to_components(config, self._numbered_settings(config))
+        if self._parts.placement_plan is not None and len(self.classes.names) > number_count:
+            self._parts.placement_plan.apply_weights()
+        self._apply_numbers_to_frontends(now)
+        if self.classes.leaving:
+            self._loop.call_later(DROPPED_CLASS_GRACE_S, self._drop_expired_classes)
+        self.config = config
+        return changes
+
+    def _number_classes_and_tenants(self, config: Config, now: float) -> ClassChanges:
+        """Give the classes and tenants of the file their numbers."""
+        names = self._parts.names
+        classes = [self._with_first_kind_number(job_class, config) for job_class in config.settings.classes]
         self.classes, changes = self.classes.updated(config.classes, classes, now)
-        has_new_numbers = len(self.classes.names) > len(names.classes)
         names.classes[:] = self.classes.names
-        if parts.placement_plan is not None:
-            parts.placement_plan.apply_settings(own_zone_name(config), settings.guarantees.slow_start_ms)
-            if has_new_numbers:
-                parts.placement_plan.apply_weights()
-        registry = names.tenants.updated(config.tenants)
-        parts.names = replace(names, tenants=registry)
-        tenants = registry.by_number(settings.tenants)
-        settings = replace(
+        self._parts.names = replace(names, tenants=names.tenants.updated(config.tenants))
+        return changes
+
+    def _numbered_settings(self, config: Config) -> Settings:
+        """The settings of the file with the numbers that this process uses.
+
+        The file may list zones, kinds and report fields in another order than at the start. Workers in the
+        endpoint table keep the zone and kind numbers of the start; reports use the new order of fields.
+        """
+        names, settings = self._parts.names, config.settings
+        own_zone = names.zones.index(config.zones[settings.own_zone]) if config.zones else settings.own_zone
+        return replace(
             settings,
             classes=self.classes.classes,
             dropped_classes=self.classes.dropped(),
-            tenants=tenants,
+            tenants=names.tenants.by_number(settings.tenants),
             own_zone=own_zone,
         )
+
+    def _apply_to_components(self, config: Config, settings: Settings) -> None:
+        """Tell all components but the frontends what they were built with at the start."""
+        parts = self._parts
         parts.forwarder.apply_settings(settings)
         parts.http_workers.apply_settings(settings.limits, config.report_fields)
         if parts.translation is not None:
             parts.translation.grpc_workers.apply_limits(settings.limits)
-        self._apply_numbers_to_frontends(now)
-        if self.classes.leaving:
-            self._loop.call_later(DROPPED_CLASS_GRACE_S, self._drop_expired_classes)
-        self.config = config
+        if parts.placement_plan is not None:
+            parts.placement_plan.apply_settings(own_zone_name(config), settings.guarantees.slow_start_ms)
         parts.descriptors.descriptor_count = config.descriptor_limit
-        return changes
 
     def _with_first_kind_number(self, job_class: JobClass, config: Config) -> JobClass:
         """The class with the number that its worker kind had at the start."""
--- a/tests/frontends/test_gearman_frontend.py
+++ b/tests/frontends/test_gearman_frontend.py
@@ -64,13 +64,7 @@
         await other.register(b"book_pallet")
         again = await client.submit(b"book_pallet", b"b1", b"six")
         assert await client.expect(PacketType.WORK_FAIL) == [again]
-        assert await is_still_asleep(other)
-
-
-async def is_still_asleep(worker: GearmanPeer) -> bool:
-    """Whether the worker has received no NOOP since it went to sleep."""
-    worker.send(PacketType.ECHO_REQ, b"still")
-    return (await worker.receive())[0] is PacketType.ECHO_RES
+        assert await other.is_asleep()
 
 
 @async_test
@@ -103,7 +97,7 @@
         assert answers == [[handle, b"booked"] for handle in handles]
         handle = await late.submit(b"book_pallet", b"b1", b"six")
         assert await late.expect(PacketType.WORK_COMPLETE) == [handle, b"booked"]
-        assert await is_still_asleep(worker)
+        assert await worker.is_asleep()
 
 
 @async_test
@@ -170,7 +164,7 @@
             PacketType.WORK_WARNING,
             PacketType.WORK_FAIL,
         ]
-        assert await is_still_asleep(worker)
+        assert await worker.is_asleep()
         worker.send(PacketType.CAN_DO, b"plan_quote")  # the worker still gets no new job
         worker.send(PacketType.GRAB_JOB)
         await worker.expect(PacketType.NO_JOB)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -381,6 +381,11 @@
         self.send(PacketType.ECHO_REQ, b"ready")
         await self.expect(PacketType.ECHO_RES)
 
+    async def is_asleep(self) -> bool:
+        """Whether a worker has received no NOOP since it went to sleep."""
+        self.send(PacketType.ECHO_REQ, b"still")
+        return (await self.receive())[0] is PacketType.ECHO_RES
+
     async def grab(self) -> list[bytes]:
         """Wait for the wake-up, then grab a job: handle, function, data."""
         await self.expect(PacketType.NOOP)
--- a/tests/name_server.py
+++ b/tests/name_server.py
@@ -1,6 +1,8 @@
 """A scripted DNS server for DNS-SD records."""
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 
 import dns.message
 import dns.name
@@ -12,6 +14,19 @@
 SERVICE = "_planner._tcp.depots.example."
 
 
+@contextlib.asynccontextmanager
+async def name_server(*planners: Planner) -> AsyncIterator["NameServer"]:
+    """Run a server with the records of these planners."""
+    loop = asyncio.get_running_loop()
+    _, server = await loop.create_datagram_endpoint(NameServer, local_addr=("127.0.0.1", 0))
+    for planner in planners:
+        server.add(planner)
+    try:
+        yield server
+    finally:
+        server.transport.close()
+
+
 class NameServer(asyncio.DatagramProtocol):
     """Answers from `records`, and counts the queries by name and type."""
 
@@ -24,6 +39,11 @@
         self.transport = transport
         self.port = transport.get_extra_info("sockname")[1]
 
+    @property
+    def front(self) -> str:
+        """The front file with which the program browses this server."""
+        return f'[dns-sd]\nserver = "127.0.0.1:{self.port}"\nservice = "{SERVICE}"\n'
+
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         query = dns.message.from_wire(data)
         name, kind = query.question[0].name, dns.rdatatype.to_text(query.question[0].rdtype)
--- a/tests/server/test_gearman_reload.py
+++ b/tests/server/test_gearman_reload.py
@@ -29,12 +29,6 @@
     await running.logged("settings applied")
 
 
-async def is_asleep(worker: GearmanPeer) -> bool:
-    """Whether the worker has received no NOOP since it went to sleep."""
-    worker.send(PacketType.ECHO_REQ, b"still")
-    return (await worker.receive())[0] is PacketType.ECHO_RES
-
-
 @async_test
 async def test_a_booking_is_not_repeated_after_a_reload_has_made_its_class_non_idempotent() -> None:
     """Guards against jobs of Gearman functions that are submitted under the class of the start: a booking was
@@ -49,7 +43,7 @@
         await second.register(b"book_pallet")
         first.writer.transport.abort()
         assert await client.expect(PacketType.WORK_FAIL) == [handle]
-        assert await is_asleep(second)
+        assert await second.is_asleep()
 
 
 @async_test
@@ -99,7 +93,7 @@
         assert await client.expect(PacketType.WORK_COMPLETE) == [handle, b"booked"]
         handle = await late.submit(b"book_pallet", b"b1", b"six")
         assert await late.expect(PacketType.WORK_COMPLETE) == [handle, b"booked"]
-        assert await is_asleep(worker)
+        assert await worker.is_asleep()
 
 
 @async_test
--- a/tests/test_old_clients.py
+++ b/tests/test_old_clients.py
@@ -8,7 +8,7 @@
 from click.testing import CliRunner
 from grpc_peer import Call, GrpcPlanner
 from loopback import FRONT, GearmanPeer, HttpClient, Planner, Run, async_test, program
-from name_server import SERVICE, NameServer
+from name_server import name_server
 
 from pipitshed.cli.commands import main
 from pipitshed.protocols.gearman import PacketType
@@ -87,16 +87,16 @@
 
 @async_test
 async def test_dns_sd_records_name_the_interface() -> None:
-    loop = asyncio.get_running_loop()
-    _, server = await loop.create_datagram_endpoint(NameServer, local_addr=("127.0.0.1", 0))
-    front = f'[dns-sd]\nserver = "127.0.0.1:{server.port}"\nservice = "{SERVICE}"\n{FRONT_TRANSLATION}'
     async with (
         GrpcPlanner() as grpc_planner,
         Planner("p2", act=lambda run: run.send_event("done", result=RESULT)) as http_planner,
+        name_server() as server,
     ):
         server.add(ListedPlanner("p1", grpc_planner.port), "interface=2")
         server.add(http_planner, "interface=1")
-        async with program(front=front, settings={"discovery": "pushed"}) as running:
+        async with program(
+            front=server.front + FRONT_TRANSLATION, settings={"discovery": "pushed"}
+        ) as running:
             client = await HttpClient.to(running.port)
             for number in range(20):
                 client.ask(f"a{number}", body=JOB_V1)
@@ -108,7 +108,6 @@
                 and len(grpc_planner.calls) + len(http_planner.runs) == 20
             )
             assert len(grpc_planner.peers) == 1
-    server.transport.close()
 
 
 @async_test
