--- a/pipitshed/proxy/dispatch_loop.py
+++ b/pipitshed/proxy/dispatch_loop.py
@@ -50,7 +50,8 @@
     def post(self, event: Event) -> None:
         """Queue an event; the dispatcher gets it with all others of this event loop iteration."""
         self._events.append(event)
-        self._schedule_turn()
+        if not self._turn_scheduled:
+            self._schedule_turn()
 
     def post_endpoint_update(self, update: DiscoveryEvent) -> None:
         """Post an event of the endpoint list; the dispatcher gets it first in its iteration.
@@ -59,20 +60,22 @@
         attempt would go to the worker's new address.
         """
         self._discovery_events.append(update)
-        self._schedule_turn()
+        if not self._turn_scheduled:
+            self._schedule_turn()
 
     def _schedule_turn(self) -> None:
-        if not self._turn_scheduled:
-            self._turn_scheduled = True
-            self._loop.call_soon(self._run_turn)
+        self._turn_scheduled = True
+        self._loop.call_soon(self._run_turn)
 
     def _take_events(self) -> list[Event]:
         """The events of this iteration: first those from discovery, with consecutive updates merged.
 
         A failed zone may arrive as hundreds of updates in one iteration.
         """
-        events = [*merge_consecutive(self._discovery_events), *self._events]
-        self._discovery_events, self._events = [], []
+        events, self._events = self._events, []
+        if self._discovery_events:
+            events = [*merge_consecutive(self._discovery_events), *events]
+            self._discovery_events = []
         return events
 
     def _run_turn(self) -> None:
