--- a/pipitshed/upstream/grpc/connection.py
+++ b/pipitshed/upstream/grpc/connection.py
@@ -25,6 +25,7 @@
 from pipitshed.upstream.grpc.control_frames import ControlFrameCounter
 from pipitshed.upstream.grpc.keepalive import Keepalive
 from pipitshed.upstream.grpc.outcomes import outcome_of_status, retry_pushback_ms
+from pipitshed.upstream.grpc.ping_probes import PingProbes
 from pipitshed.upstream.grpc.stream import GrpcStream
 
 if TYPE_CHECKING:
@@ -34,7 +35,6 @@
 MAX_UNREAD_BYTES = 1024 * 1024  # unsent bytes beyond which the connection to a slow reader is closed
 WINDOW_BYTES = 2 * MESSAGE_LIMIT_BYTES  # flow control window of each stream and of the connection
 MAX_HEADER_LIST_BYTES = 16 * 1024
-PROBE_TIMEOUT_S = 0.5
 MAX_KEEPALIVE_S = 600.0
 KEEPALIVE_PING_DATA = b"pipitshe"
 
@@ -63,7 +63,7 @@
         self._is_flush_scheduled = False
         self._idle_timer: asyncio.TimerHandle | None = None
         self._keepalive = Keepalive(self._loop, client.keepalive_s, self._send_keepalive_ping, self.abort)
-        self._probes: dict[bytes, float] = {}  # loop time of the probe's start, by PING data
+        self._probes = PingProbes(self._loop, self._send_probe_ping, self._report_probe)
         self._control_frames = ControlFrameCounter()
 
     # ---- connection state
@@ -125,8 +125,7 @@
             stream.report(stream.event_outcome or outcome)
         for attempt in queue:
             self.client.forwarder.attempt_finished(attempt, Outcome.CONNECT_FAILED)
-        for ping_data in list(self._probes):
-            self._finish_probe(ping_data, Outcome.CONNECT_FAILED)
+        self._probes.fail_all()
         for _ in range(self.idle_reports):
             self.client.forwarder.connection_lost(self.endpoint)
 
@@ -307,8 +306,7 @@
         for stream in list(self.streams.values()):
             self._send_body(stream)
         self._open_streams()
-        for ping_data in self._probes:
-            self._http2.ping(ping_data)
+        self._probes.send_all()
         self._continue()
 
     def _on_window_updated(self, event: h2.events.WindowUpdated) -> None:
@@ -335,9 +333,7 @@
         self._count_control_frame()
 
     def _on_ping_ack(self, event: h2.events.PingAckReceived) -> None:
-        if event.ping_data in self._probes:
-            self._finish_probe(event.ping_data, Outcome.OK)
-        else:
+        if not self._probes.acknowledged(event.ping_data):
             self._keepalive.is_ping_pending = False
 
     def _count_control_frame(self) -> None:
@@ -366,7 +362,7 @@
             return
         if self.queue and self.is_ready:
             self._open_streams()
-        if self.streams or self.queue or self._probes:
+        if self.streams or self.queue or self._probes.are_pending:
             return
         self._keepalive.stop()
         if self.is_draining:
@@ -385,19 +381,15 @@
     def probe(self) -> None:
         """Send a PING; its ACK shows that the worker responds, but not its load."""
         self.client.probe_count += 1
-        ping_data = b"%08x" % (self.client.probe_count & 0xFFFF_FFFF)
-        self._probes[ping_data] = self._loop.time()
-        self._loop.call_later(PROBE_TIMEOUT_S, self._finish_probe, ping_data, Outcome.TIMEOUT)
-        if self.is_ready:
-            self._http2.ping(ping_data)
-            self._schedule_flush()
-
-    def _finish_probe(self, ping_data: bytes, outcome: Outcome) -> None:
-        started_at = self._probes.pop(ping_data, None)
-        if started_at is not None:
-            duration_ms = (self._loop.time() - started_at) * 1000
-            self.client.forwarder.probe_finished(self.endpoint, outcome, duration_ms)
-            self._continue()
+        self._probes.start(self.client.probe_count, self.is_ready)
+
+    def _send_probe_ping(self, ping_data: bytes) -> None:
+        self._http2.ping(ping_data)
+        self._schedule_flush()
+
+    def _report_probe(self, outcome: Outcome, duration_ms: float) -> None:
+        self.client.forwarder.probe_finished(self.endpoint, outcome, duration_ms)
+        self._continue()
 
     def _send_keepalive_ping(self) -> None:
         self._http2.ping(KEEPALIVE_PING_DATA)
