Each connection is handled within its share of the event loop's time

Seen by callers: beside one connection that sent health checks, wrong methods or Gearman packets at full speed, others were answered after 1 to 14 s or never; the scheduler's memory grew meanwhile.

Cause: uvloop reads up to 32 times 256 KiB from one socket in an iteration and hands each read over whole, and the protocols handled all of it at once: 280,000 health checks before the next socket. pause_reading of an unread client did not stop the read that was being parsed. Evidence: tests/server/test_loop_share.py before this commit, and uvloop's stream.pyx.

Change: flow_control.PacedConnection is the base of all stream connections (clients, operators, workers, discovery, probes, cluster streams). It reads 16 KiB at a time, handles input in slices, and waits for its next turn once it has used 2 ms; at most 6 ms of an iteration go to those that wait. A job starts only when all that its client has sent is read, as its end may be behind it.

Related: the Gearman front also ends a connection's turn with each job, whose dispatch costs more than its packet.

--- a/pipitshed/admin/frontend.py
+++ b/pipitshed/admin/frontend.py
@@ -4,10 +4,11 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import cast
 
 import httptools
 
+from pipitshed.flow_control import FlowControl, PacedConnection
+
 REQUEST_TIMEOUT_S = 2.0  # from connecting; an incomplete request is then closed without a response
 MAX_CONNECTIONS = 16  # a new connection closes the oldest
 HEAD_LIMIT_BYTES = 8 * 1024  # of a request, which has no body
@@ -24,13 +25,13 @@
 }
 
 
-class _AdminConnection(asyncio.Protocol):
+class _AdminConnection(PacedConnection):
     """One connection, which carries one request."""
 
     def __init__(self, frontend: AdminFrontend) -> None:
+        super().__init__(frontend.flow_control)
         self._frontend = frontend
         self._parser = httptools.HttpRequestParser(self)
-        self._transport: asyncio.Transport | None = None
         self._url = b""
         self._received_bytes = 0
         self._answered = False
@@ -38,7 +39,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, and start its timeout."""
-        self._transport = cast(asyncio.Transport, transport)  # uvloop's transports don't inherit from it
+        super().connection_made(transport)
         self._frontend.connections[self] = None
         self._timer = self._frontend.loop.call_later(REQUEST_TIMEOUT_S, self.close)
 
@@ -114,8 +115,13 @@
     """All connections at the admin address."""
 
     def __init__(
-        self, ready: Callable[[], bool], metrics: Callable[[], bytes], loop: asyncio.AbstractEventLoop
+        self,
+        ready: Callable[[], bool],
+        metrics: Callable[[], bytes],
+        loop: asyncio.AbstractEventLoop,
+        flow_control: FlowControl | None = None,
     ) -> None:
+        self.flow_control = flow_control or FlowControl(loop)
         self.ready = ready
         self.metrics = metrics
         self.loop = loop
--- a/pipitshed/cluster/streams.py
+++ b/pipitshed/cluster/streams.py
@@ -4,11 +4,11 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import cast
 
 from pipitshed.cluster import counters
 from pipitshed.cluster.codec import FRAME_LIMIT_BYTES, LENGTH_PREFIX, Codec, MessageRejectedError
 from pipitshed.cluster.messages import ClusterMessage
+from pipitshed.flow_control import FlowControl, PacedConnection
 from pipitshed.membership.members import Address
 from pipitshed.protocols.buffer import Buffer, TooLongError
 
@@ -21,18 +21,18 @@
     return LENGTH_PREFIX.pack(len(data)) + data
 
 
-class _Stream(asyncio.Protocol):
+class _Stream(PacedConnection):
     """One stream: reads messages and passes them on, and closes itself after the timeout."""
 
     def __init__(self, streams: Streams) -> None:
+        super().__init__(streams.flow_control)
         self._streams = streams
         self._buffer = Buffer(FRAME_LIMIT_BYTES + LENGTH_PREFIX.size)
         self._timeout: asyncio.TimerHandle | None = None
-        self.transport: asyncio.Transport | None = None
         self.address: Address = ("", 0)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's transports inherit from no base class
+        super().connection_made(transport)
         self.address = transport.get_extra_info("peername")[:2]
         self._timeout = self._streams.loop.call_later(STREAM_TIMEOUT_S, self.abort)
         self._streams.opened(self)
@@ -68,14 +68,14 @@
 
     def answer(self, data: bytes) -> None:
         """Write the answer, and close the stream after it."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(with_length_prefix(data))
-            self.transport.close()
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(with_length_prefix(data))
+            self._transport.close()
 
     def abort(self) -> None:
         """Close the stream immediately; data that was not sent is lost."""
-        if self.transport is not None:
-            self.transport.abort()
+        if self._transport is not None:
+            self._transport.abort()
 
 
 class Streams:
@@ -87,7 +87,9 @@
         loop: asyncio.AbstractEventLoop,
         on_message: Callable[[ClusterMessage, Address], None],
         count: Callable[[str], None],
+        flow_control: FlowControl | None = None,
     ) -> None:
+        self.flow_control = flow_control or FlowControl(loop)
         self.codec = codec
         self.loop = loop
         self.count = count
@@ -95,7 +97,7 @@
         self._open: set[_Stream] = set()
         self._being_handled: dict[Address, _Stream] = {}
 
-    def incoming(self) -> asyncio.Protocol:
+    def incoming(self) -> asyncio.BaseProtocol:
         """Return the protocol of a new stream; called by the event loop's server."""
         return _Stream(self)
 
--- a/pipitshed/discovery/catalog/client.py
+++ b/pipitshed/discovery/catalog/client.py
@@ -13,6 +13,7 @@
 from pipitshed.discovery.catalog.size_limit import update_size_limit
 from pipitshed.discovery.catalog.update_parser import CatalogUpdate
 from pipitshed.discovery.catalog.watch import CatalogCall
+from pipitshed.flow_control import FlowControl
 from pipitshed.proxy.endpoint_table import EndpointRow, EndpointTable
 from pipitshed.scheduling.events import UpdateKind
 
@@ -51,7 +52,9 @@
         table: EndpointTable,
         loop: asyncio.AbstractEventLoop,
         size_limit: int = update_size_limit(_DEFAULT_MEMORY_MB),
+        flow_control: FlowControl | None = None,
     ) -> None:
+        self.flow_control = flow_control or FlowControl(loop)
         self.address = address
         self.parser = parser
         self.table = table
--- a/pipitshed/discovery/catalog/watch.py
+++ b/pipitshed/discovery/catalog/watch.py
@@ -9,10 +9,11 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 from pipitshed.discovery.catalog.size_limit import OversizedUpdate
 from pipitshed.discovery.catalog.update_parser import LineAssembler, decode_update
+from pipitshed.flow_control import PacedConnection
 from pipitshed.protocols.http import MalformedResponseError, ResponseReader
 
 if TYPE_CHECKING:
@@ -31,15 +32,17 @@
 log = logging.getLogger("pipitshed")
 
 
-class CatalogCall(asyncio.Protocol):
+class CatalogCall(PacedConnection):
     """One call: the whole list, or a watch that lasts until its connection ends."""
 
+    slice_bytes = 2048
+
     def __init__(self, client: CatalogClient, is_watch: bool) -> None:
+        super().__init__(client.flow_control)
         self._client = client
         self._is_watch = is_watch
         self._size_limit_bytes = client.size_limit
         self._reader = ResponseReader(self, self._size_limit_bytes + READ_SIZE_BYTES)
-        self._transport: asyncio.Transport | None = None
         self._status = 0
         self._ended = False
         self._has_update = False  # the first update is complete; heartbeats count from then on
@@ -110,7 +113,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the request."""
-        self._transport = cast(asyncio.Transport, transport)  # uvloop's transports do not inherit from it
+        super().connection_made(transport)
+        assert self._transport is not None
         self._client.unreachable = False
         if self._ended:
             self._transport.abort()
--- /dev/null
+++ b/pipitshed/flow_control/input_scheduler.py
@@ -0,0 +1,88 @@
+"""Gives each connection its share of the event loop's time.
+
+What a connection receives is handled in slices. A connection that has used its share in an iteration of the
+loop is not read further; what it has received already waits for the connection's next turn. So a peer that
+sends at full speed is slowed down by its own connection, and the others are served in between.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from time import monotonic
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pipitshed.flow_control.paced_connection import PacedConnection
+
+READ_BYTES = 16 * 1024  # of one read; what a connection keeps unhandled at most
+SHARE_S = 0.002  # for which one connection is handled without a break
+TURN_S = 0.006  # for which connections beyond their share are handled in one iteration of the loop
+
+
+class InputScheduler:
+    """The connections whose input waits, in the order of their turns.
+
+    Attributes:
+        buffer: Where all connections read to; it is handled or copied before the next read.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.buffer = memoryview(bytearray(READ_BYTES))
+        self.deferred_count = 0  # connections that have used up their share, counted each time
+        self._loop = loop
+        self._waiting: deque[PacedConnection] = deque()
+        self._is_turn_scheduled = False
+        self._used_s: dict[PacedConnection, float] = {}  # of whole reads in this iteration
+
+    def received(self, connection: PacedConnection, count: int) -> None:
+        """Handle what a connection has read into the buffer; the rest waits once its share is used."""
+        data = self.buffer[:count]
+        if count < READ_BYTES:
+            # The usual case: a message or two, all that there is.
+            handled = connection.next_slice_bytes()
+            if handled >= count:
+                connection.data_received(bytes(data))
+                return
+        started_at = monotonic()
+        used_s = self._used_s.get(connection, 0.0)
+        handled = connection.handle_slices(data, started_at + SHARE_S - used_s)
+        if handled < count:
+            self._defer(connection, bytes(data[handled:]))
+        elif count == READ_BYTES:
+            # More may follow in this iteration.
+            self._used_s[connection] = used_s = used_s + monotonic() - started_at
+            if used_s >= SHARE_S:
+                self._defer(connection, b"")
+            else:
+                self._schedule_turn()
+
+    def _defer(self, connection: PacedConnection, rest: bytes) -> None:
+        self.deferred_count += 1
+        connection.defer(rest)
+        self.resume(connection)
+
+    def resume(self, connection: PacedConnection) -> None:
+        """Give a connection whose input waits another turn."""
+        self._waiting.append(connection)
+        self._schedule_turn()
+
+    def _schedule_turn(self) -> None:
+        if not self._is_turn_scheduled:
+            self._is_turn_scheduled = True
+            self._loop.call_soon(self._run_turn)
+
+    def _run_turn(self) -> None:
+        """Handle waiting input, a share of each connection after the other, for TURN_S at most."""
+        self._is_turn_scheduled = False
+        self._used_s.clear()
+        until = monotonic() + TURN_S
+        for _ in range(len(self._waiting)):
+            connection = self._waiting.popleft()
+            now = monotonic()
+            if connection.continue_input(now + SHARE_S):
+                self._waiting.append(connection)
+            if now >= until:
+                break
+        if self._waiting:
+            self._schedule_turn()
--- /dev/null
+++ b/pipitshed/flow_control/paced_connection.py
@@ -0,0 +1,154 @@
+"""The base of all stream connections, which reads within the connection's share of the loop's time."""
+
+from __future__ import annotations
+
+import asyncio
+from time import monotonic
+from typing import cast
+
+from pipitshed.flow_control.flow_control import FlowControl
+
+DEFAULT_SLICE_BYTES = 512  # of input, handled in one step; holds a few dozen of the shortest messages
+
+
+class PacedConnection(asyncio.BufferedProtocol):
+    """A connection whose input `data_received` handles in slices.
+
+    Reading is paused while received input waits for the connection's turn, and while it is held, for want of
+    memory or because the peer does not read.
+
+    Attributes:
+        slice_bytes: The size of a usual slice of the input.
+    """
+
+    slice_bytes = DEFAULT_SLICE_BYTES
+
+    def __init__(self, flow_control: FlowControl) -> None:
+        self.flow_control = flow_control
+        self._transport: asyncio.Transport | None = None
+        self._deferred = b""  # received, not handled yet
+        self._is_deferred = False  # waits for its turn
+        self._is_held = False
+        self._ends_turn = False  # handles no further slice in this turn
+        self._is_drained = True  # the last read emptied the socket
+        self._read_count = 0
+
+    # ---- for the derived classes
+
+    def data_received(self, data: bytes) -> None:
+        """Handle a slice of the input."""
+        raise NotImplementedError
+
+    def next_slice_bytes(self) -> int:
+        """The size of the next slice; more than `slice_bytes` in the rest of a long message."""
+        return self.slice_bytes
+
+    def end_turn(self) -> None:
+        """Handle no further slice in this turn: the last one causes work outside of the connection."""
+        self._ends_turn = True
+
+    def input_drained(self) -> None:
+        """Called when all that the peer has sent so far is handled, after it was not."""
+
+    @property
+    def is_input_drained(self) -> bool:
+        """Whether all that the peer has sent so far is handled, so that its disconnect would be known."""
+        return self._is_drained and not self._is_deferred and not self._is_held
+
+    def hold_input(self) -> None:
+        """Handle and read no more input until `release_input`."""
+        if not self._is_held:
+            self._is_held = True
+            self._pause()
+
+    def release_input(self) -> None:
+        """Handle and read input again."""
+        if self._is_held:
+            self._is_held = False
+            if self._is_deferred:
+                self.flow_control.input.resume(self)
+            else:
+                self._resume()
+
+    def discard_deferred(self) -> None:
+        """Drop the input that waits: the connection is closed."""
+        self._deferred = b""
+
+    # ---- asyncio.BufferedProtocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's transports do not inherit from it
+
+    def get_buffer(self, _size_hint: int) -> memoryview:
+        """The buffer that all connections read to."""
+        return self.flow_control.input.buffer
+
+    def buffer_updated(self, count: int) -> None:
+        """Handle what was read, within the connection's share."""
+        scheduler = self.flow_control.input
+        self._read_count += 1
+        was_drained, self._is_drained = self._is_drained, count < len(scheduler.buffer)
+        scheduler.received(self, count)
+        if not self._is_drained:
+            self.flow_control.loop.call_soon(self._check_drained_later, self._read_count)
+        elif not was_drained and not self._is_deferred:
+            self.input_drained()
+
+    # ---- for the input scheduler
+
+    def handle_slices(self, data: memoryview | bytes, until: float) -> int:
+        """Handle input until this monotonic time, one slice at least; return how much is handled."""
+        self._ends_turn = False
+        offset = 0
+        while offset < len(data):
+            end = offset + self.next_slice_bytes()
+            self.data_received(bytes(data[offset:end]))
+            offset = end
+            if self._is_held or self._ends_turn or monotonic() >= until:
+                break
+        return min(offset, len(data))
+
+    def defer(self, rest: bytes) -> None:
+        """Keep received input for the connection's next turn, and read no more before it."""
+        self._deferred = rest
+        self._is_deferred = True
+        self._pause()
+
+    def continue_input(self, until: float) -> bool:
+        """Handle input that waits; True if more of it waits for another turn."""
+        if self._is_held:
+            return False  # `release_input` gives it another turn
+        handled = self.handle_slices(self._deferred, until)
+        self._deferred = self._deferred[handled:]
+        if self._deferred:
+            return not self._is_held
+        self._is_deferred = False
+        if not self._is_held:
+            self._resume()
+            if self._is_drained:
+                self.input_drained()
+        return False
+
+    def _check_drained_later(self, read_count: int) -> None:
+        # The socket may have been emptied by a read of a whole buffer. The next poll of the loop shows it.
+        self.flow_control.loop.call_soon(self._check_drained, read_count)
+
+    def _check_drained(self, read_count: int) -> None:
+        if self._read_count != read_count or self._is_drained:
+            return
+        if self._is_deferred or self._is_held:
+            self.flow_control.loop.call_soon(self._check_drained_later, read_count)
+            return
+        self._is_drained = True
+        self.input_drained()
+
+    def _pause(self) -> None:
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            transport.pause_reading()
+
+    def _resume(self) -> None:
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            transport.resume_reading()
--- a/pipitshed/frontends/gearman/connection.py
+++ b/pipitshed/frontends/gearman/connection.py
@@ -4,8 +4,9 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
+from pipitshed.flow_control import PacedConnection
 from pipitshed.frontends.gearman.job import GearmanJob
 from pipitshed.protocols.buffer import Buffer, TooLongError
 from pipitshed.protocols.gearman import (
@@ -14,6 +15,7 @@
     PacketError,
     PacketType,
     encode_packet,
+    missing_bytes,
     take_requests,
 )
 from pipitshed.protocols.http import BODY_LIMIT_BYTES
@@ -46,16 +48,18 @@
 }
 
 
-class GearmanConnection(asyncio.Protocol):
+class GearmanConnection(PacedConnection):
     """One connection from accept to close."""
 
+    slice_bytes = 128  # ten of the shortest packets, as a text command may take long
+
     def __init__(self, frontend: GearmanFrontend) -> None:
+        super().__init__(frontend.flow_control)
         self.wants_exceptions = False
         self.worker: GearmanWorker | None = None
         self._frontend = frontend
         # One read, and an incomplete packet left by the previous one.
         self._buffer = Buffer(PACKET_HEADER.size + PACKET_LIMIT_BYTES + _READ_SIZE_BYTES)
-        self._transport: asyncio.Transport | None = None
         self._jobs: dict[GearmanJob, None] = {}  # jobs whose results the client waits for
         self._is_closing = False
 
@@ -63,7 +67,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, and limit its unread output."""
-        self._transport = cast(asyncio.Transport, transport)  # uvloop's transports do not inherit from it
+        super().connection_made(transport)
+        assert self._transport is not None
         self._transport.set_write_buffer_limits(high=MAX_UNREAD_BYTES)
         self._frontend.connections[self] = None
 
@@ -101,6 +106,10 @@
             self.write(encode_packet(PacketType.ERROR, b"ERR_BAD_PACKET", str(error).encode()))
             self.close()
 
+    def next_slice_bytes(self) -> int:
+        """The rest of a packet is one slice, as it holds no further packet."""
+        return max(self.slice_bytes, missing_bytes(self._buffer))
+
     # ---- packets
 
     def _handle_packet(self, kind: PacketType, arguments: list[bytes]) -> None:
@@ -144,6 +153,7 @@
             # Deferred: if the client has already disconnected, its EOF is read before the next iteration, and
             # the job is not started.
             frontend.loop.call_soon(frontend.submit, job, parameters, name, body, submission.priority)
+            self.end_turn()
 
     def _write_error(self, code: bytes, text: bytes) -> None:
         self.write(encode_packet(PacketType.ERROR, code, text))
--- a/pipitshed/frontends/gearman/frontend.py
+++ b/pipitshed/frontends/gearman/frontend.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
+from pipitshed.flow_control import FlowControl
 from pipitshed.frontends.gearman.connection import GearmanConnection
 from pipitshed.frontends.gearman.job import GearmanJob
 from pipitshed.frontends.gearman.text_commands import run_command
@@ -60,7 +61,9 @@
         label: str,
         max_connections: Callable[[], int],
         shutdown: Callable[[], None],
+        flow_control: FlowControl | None = None,
     ) -> None:
+        self.flow_control = flow_control or FlowControl(loop)
         self.forwarder = forwarder
         self.worker_client = worker_client
         self.functions = functions
--- a/pipitshed/frontends/http/connection.py
+++ b/pipitshed/frontends/http/connection.py
@@ -4,11 +4,12 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 import httptools
 import msgspec
 
+from pipitshed.flow_control import PacedConnection
 from pipitshed.frontends.http.request_parser import SINGLE_VALUE_HEADERS, MalformedError
 from pipitshed.frontends.http.responses import response
 from pipitshed.protocols.buffer import Buffer, TooLongError
@@ -43,19 +44,20 @@
     return 413 if isinstance(error, TooLongError) else 400
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(PacedConnection):
     """One client's connection, from accept to close."""
 
     def __init__(self, frontend: HttpFrontend) -> None:
+        super().__init__(frontend.flow_control)
         self._frontend = frontend
         self._parser = httptools.HttpRequestParser(self)
         self._buffer = Buffer(BODY_LIMIT_BYTES)
-        self._transport: asyncio.Transport | None = None
         self._resource = b""
         self._headers: dict[bytes, bytes] = {}
         self._head_bytes = 0  # received of an incomplete head; _IN_BODY after the head
         self._parsed_head_bytes = 0  # of the parsed target and headers
         self._message_bytes = 0  # received of an incomplete request
+        self._body_bytes_left = 0  # of a body whose length is known
         self._is_receiving = False
         self.last_received_at = 0.0  # loop time
         self.last_responded_at = 0.0  # loop time
@@ -86,7 +88,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout of the first request."""
-        self._transport = cast(asyncio.Transport, transport)  # uvloop's transports do not inherit from it
+        super().connection_made(transport)
         self._timer = self._frontend.loop.call_later(FIRST_REQUEST_TIMEOUT_S, self._on_timeout)
         self._frontend.connected(self)
 
@@ -98,6 +100,7 @@
         if self._write_timer is not None:
             self._write_timer.cancel()
         self._withdraw()
+        self.discard_deferred()
 
     def eof_received(self) -> None:
         """Treat the client as disconnected immediately, even if responses are still unread."""
@@ -110,8 +113,8 @@
         No request starts in this state, because a disconnect of the client would not be noticed.
         """
         self._is_write_paused = True
+        self.hold_input()
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
             self._write_timer = self._frontend.loop.call_later(WRITE_TIMEOUT_S, self._transport.abort)
 
     def resume_writing(self) -> None:
@@ -119,8 +122,8 @@
         self._is_write_paused = False
         if self._write_timer is not None:
             self._write_timer.cancel()
+        self.release_input()
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
             self._process_queue()
 
     def data_received(self, data: bytes) -> None:
@@ -151,6 +154,15 @@
         except (MalformedError, TooLongError) as error:
             self._reject_input(_error_status(error))
 
+    def next_slice_bytes(self) -> int:
+        """The rest of a body is one slice, as it holds no further request."""
+        return max(self.slice_bytes, self._body_bytes_left)
+
+    def input_drained(self) -> None:
+        """Start the requests that had to wait until a disconnect behind them would have been read."""
+        if self._queue:
+            self._frontend.loop.call_soon(self._process_queue)
+
     def _withdraw(self) -> None:
         """After a disconnect: discard the queued requests, and withdraw the one in progress."""
         self._is_last = True
@@ -217,20 +229,23 @@
         if self._parser.should_upgrade():
             raise MalformedError(400, "upgrades are not supported")  # the parser would not read the body
         length = self._headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > BODY_LIMIT_BYTES:
-            raise MalformedError(413, "the body is too long")
+        if length.isdigit():
+            if int(length) > BODY_LIMIT_BYTES:
+                raise MalformedError(413, "the body is too long")
+            self._body_bytes_left = int(length)
         if self._headers.get(b"expect", b"").lower() == b"100-continue" and self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser with a part of the body; TooLongError beyond the limit."""
+        self._body_bytes_left = max(0, self._body_bytes_left - len(data))
         self._buffer.append(data)
 
     def on_message_complete(self) -> None:
         """Called by the parser: queue the request, or the status that answers it."""
         if self._is_last:
             return  # read together with the last request, or with those of a flood
-        self._head_bytes = self._message_bytes = 0
+        self._head_bytes = self._message_bytes = self._body_bytes_left = 0
         self._is_receiving = False
         self._cancel_timeout()
         self._frontend.awaiting_first_request.pop(self, None)
@@ -287,6 +302,9 @@
             and not self._is_write_paused
             and (self._transport is not None and not self._transport.is_closing())
         ):
+            if not isinstance(self._queue[0], int) and not self.is_input_drained:
+                # The client's disconnect may be behind input that is not read yet.
+                return
             first = self._queue.popleft()
             if isinstance(first, int):
                 self._write(first)
@@ -363,8 +381,7 @@
         self._frontend.closing[self] = None
         self._is_last = True
         self._message_bytes = 0
-        if self._is_write_paused:
-            transport.resume_reading()
+        self.release_input()  # to be discarded
         transport.write_eof()
         self._cancel_timeout()
         self._timer = self._frontend.loop.call_later(self._frontend.linger, self._end_linger)
--- a/pipitshed/frontends/http/frontend.py
+++ b/pipitshed/frontends/http/frontend.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from itertools import islice
 
+from pipitshed.flow_control import FlowControl
 from pipitshed.frontends.http.connection import HttpConnection
 from pipitshed.frontends.http.request_parser import RequestParser
 from pipitshed.proxy.forwarder import Forwarder
@@ -27,7 +28,9 @@
         max_connections: Callable[[], int],
         loop: asyncio.AbstractEventLoop,
         ready: Callable[[], bool],
+        flow_control: FlowControl | None = None,
     ) -> None:
+        self.flow_control = flow_control or FlowControl(loop)
         self.forwarder = forwarder
         self.parser = parser
         self.loop = loop
--- a/pipitshed/frontends/listener.py
+++ b/pipitshed/frontends/listener.py
@@ -22,7 +22,7 @@
     def __init__(
         self,
         address: tuple[str, int],
-        factory: Callable[[], asyncio.Protocol],
+        factory: Callable[[], asyncio.BaseProtocol],
         loop: asyncio.AbstractEventLoop,
         may_accept: Callable[[int], bool] = _accept_always,
         passed: int | None = None,
--- a/pipitshed/protocols/gearman.py
+++ b/pipitshed/protocols/gearman.py
@@ -110,6 +110,14 @@
     return arguments
 
 
+def missing_bytes(buffer: Buffer) -> int:
+    """How much of the incomplete packet at the start of the buffer is still to come, as far as is known."""
+    if len(buffer) < PACKET_HEADER.size or buffer.peek(1) != b"\0":
+        return 0
+    _, _, length = PACKET_HEADER.unpack(buffer.peek(PACKET_HEADER.size))
+    return max(0, PACKET_HEADER.size + int(length) - len(buffer))
+
+
 def take_requests(buffer: Buffer) -> Iterator[tuple[PacketType, list[bytes]] | bytes]:
     """Consume the complete requests in the buffer: packets, or lines of text commands."""
     while len(buffer):
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -23,6 +23,7 @@
     NameIndex,
     update_size_limit,
 )
+from pipitshed.flow_control import FlowControl
 from pipitshed.frontends.http import HttpFrontend, RequestParser
 from pipitshed.frontends.listener import Listener
 from pipitshed.proxy.decision_log import DecisionLog
@@ -73,6 +74,7 @@
 
     names: Names
     descriptors: DescriptorBudget
+    flow_control: FlowControl
     forwarder: Forwarder
     http_workers: HttpWorkerClient
     translation: TranslationParts | None
@@ -118,15 +120,18 @@
     tenants = TenantRegistry.first(config.tenants)
     names = Names(NameIndex(config.zones), NameIndex(config.kinds), class_names, tenants)
     descriptors = DescriptorBudget(config.descriptor_limit)
+    flow_control = FlowControl(loop)
     forwarder = Forwarder(config.settings, config.seed, loop, open_decision_log(config))
-    http_workers = HttpWorkerClient(forwarder, config.report_fields, loop, descriptors.left_for_workers)
-    translation = build_translation(front, forwarder, http_workers, class_names, loop)
+    http_workers = HttpWorkerClient(
+        forwarder, config.report_fields, loop, descriptors.left_for_workers, flow_control
+    )
+    translation = build_translation(front, forwarder, http_workers, class_names, loop, flow_control)
 
     def parser(source: str) -> EndpointParser:
         interfaces = translation.interfaces if translation is not None else None
         return EndpointParser(source, names.zones, names.kinds, http_workers, interfaces)
 
-    discovery = build_discovery(config, parser, forwarder, loop)
+    discovery = build_discovery(config, parser, forwarder, loop, flow_control)
     dns_sd = build_dns_sd(front, parser, forwarder, loop)
     placement_plan = build_placement_plan(config, front, forwarder, class_names, loop)
     translator = translation.translator if translation is not None else None
@@ -136,10 +141,12 @@
         descriptors.max_http_clients,
         loop,
         server.ready,
+        flow_control,
     )
     parts = Parts(
         names,
         descriptors,
+        flow_control,
         forwarder,
         http_workers,
         translation,
@@ -169,13 +176,14 @@
     http_workers: HttpWorkerClient,
     class_names: list[str],
     loop: asyncio.AbstractEventLoop,
+    flow_control: FlowControl,
 ) -> TranslationParts | None:
     """Build the translation of messages between forms, and the client of gRPC workers."""
     if front.translation is None:
         return None
     from pipitshed.server.translation import TranslationParts
 
-    return TranslationParts(forwarder, http_workers, front.translation, class_names, loop)
+    return TranslationParts(forwarder, http_workers, front.translation, class_names, loop, flow_control)
 
 
 def build_discovery(
@@ -183,6 +191,7 @@
     parser: Callable[[str], EndpointParser],
     forwarder: Forwarder,
     loop: asyncio.AbstractEventLoop,
+    flow_control: FlowControl,
 ) -> CatalogClient | None:
     """Build the client of the platform's catalog, and load the cached endpoint list of the configuration."""
     if config.discovery is None:
@@ -193,6 +202,7 @@
         forwarder.endpoints,
         loop,
         update_size_limit(config.memory_mb),
+        flow_control,
     )
     forwarder.attach_discovery(discovery.fetch)
     apply_discovery_timeouts(discovery, config.settings)
@@ -261,7 +271,7 @@
     """Listen for HTTP clients, and for Gearman clients and workers where the front file has addresses."""
     http = parts.http_frontend
 
-    def accept_http_client() -> asyncio.Protocol:
+    def accept_http_client() -> asyncio.BaseProtocol:
         # When descriptors run short, the oldest idle connection to a worker is closed. The client is not
         # rejected, because the frontend may close another client's connection for it.
         if parts.http_workers.connections >= parts.descriptors.left_for_workers():
@@ -317,6 +327,7 @@
         label,
         parts.descriptors.max_gearman_peers,
         server.drain,
+        parts.flow_control,
     )
 
 
@@ -339,7 +350,7 @@
 def add_admin(parts: Parts, config: Config, server: ServerCallbacks, loop: asyncio.AbstractEventLoop) -> None:
     """Listen on the admin address where the configuration has one."""
     if config.admin_address is not None:
-        parts.admin_frontend = AdminFrontend(server.ready, server.metrics, loop)
+        parts.admin_frontend = AdminFrontend(server.ready, server.metrics, loop, parts.flow_control)
         parts.admin_listener = Listener(config.admin_address, parts.admin_frontend.connection, loop)
 
 
--- a/pipitshed/server/translation.py
+++ b/pipitshed/server/translation.py
@@ -7,6 +7,7 @@
 
 from pipitshed.config.front import Translation
 from pipitshed.discovery.worker_interfaces import InterfaceRegistry
+from pipitshed.flow_control import FlowControl
 from pipitshed.proxy.forwarder import Forwarder
 from pipitshed.proxy.worker_client import Endpoint
 from pipitshed.scheduling.events import WorkerId
@@ -29,10 +30,11 @@
         config: Translation,
         class_names: Sequence[str],
         loop: asyncio.AbstractEventLoop,
+        flow_control: FlowControl,
     ) -> None:
         self.translator = Translator(config.file, class_names)
-        self.grpc_workers = GrpcWorkerClient(forwarder, class_names, loop, config.keepalive_s)
-        self.prober = InterfaceProber(loop, self._on_interface_detected)
+        self.grpc_workers = GrpcWorkerClient(forwarder, class_names, loop, config.keepalive_s, flow_control)
+        self.prober = InterfaceProber(loop, self._on_interface_detected, flow_control)
         self.interfaces = InterfaceRegistry(
             forwarder.endpoints,
             {HTTP_INTERFACE: http_workers, GRPC_INTERFACE: self.grpc_workers},
--- a/pipitshed/upstream/grpc/client.py
+++ b/pipitshed/upstream/grpc/client.py
@@ -9,6 +9,7 @@
 from hpack import NeverIndexedHeaderTuple
 
 from pipitshed import __version__
+from pipitshed.flow_control import FlowControl
 from pipitshed.protocols.address import Address
 from pipitshed.protocols.grpc import encode_timeout
 from pipitshed.proxy.attempt import Attempt
@@ -43,7 +44,9 @@
         classes: Sequence[str],
         loop: asyncio.AbstractEventLoop,
         keepalive_s: float,
+        flow_control: FlowControl | None = None,
     ) -> None:
+        self.flow_control = flow_control or FlowControl(loop)
         self.forwarder = forwarder
         self.loop = loop
         self.keepalive_s = keepalive_s  # time without input, with attempts outstanding, before a PING
--- a/pipitshed/upstream/grpc/connection.py
+++ b/pipitshed/upstream/grpc/connection.py
@@ -11,13 +11,14 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any
 
 import h2.errors
 import h2.events
 import h2.exceptions
 import h2.settings
 
+from pipitshed.flow_control import PacedConnection
 from pipitshed.protocols.grpc import MESSAGE_LIMIT_BYTES, Http2Connection, frame_message
 from pipitshed.proxy.attempt import Attempt
 from pipitshed.proxy.worker_client import Endpoint
@@ -43,10 +44,13 @@
 log = logging.getLogger("pipitshed")
 
 
-class GrpcConnection(asyncio.Protocol):
+class GrpcConnection(PacedConnection):
     """One connection to one worker."""
 
+    slice_bytes = 2048
+
     def __init__(self, client: GrpcWorkerClient, endpoint: Endpoint) -> None:
+        super().__init__(client.flow_control)
         self.endpoint = endpoint
         self.queue: deque[Attempt] = deque()  # those that wait for the connection or for a free stream
         self.streams: dict[int, GrpcStream] = {}
@@ -56,7 +60,6 @@
         self.client = client
         self._loop = client.loop
         self._http2 = Http2Connection()
-        self._transport: asyncio.Transport | None = None
         self.idle_reports = 0  # idle connections that the scheduler counts for this connection
         self._unflushed: set[int] = set()  # streams whose last bytes may not have reached the kernel
         self._is_write_paused = False
@@ -70,7 +73,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the preface and SETTINGS."""
-        self._transport = cast(asyncio.Transport, transport)  # uvloop's transports do not inherit from it
+        super().connection_made(transport)
+        assert self._transport is not None
         self._transport.set_write_buffer_limits(high=0)
         self._http2.local_settings = h2.settings.Settings(
             client=True,
--- a/pipitshed/upstream/http/client.py
+++ b/pipitshed/upstream/http/client.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Callable, Coroutine, Sequence
 
+from pipitshed.flow_control import FlowControl
 from pipitshed.protocols.address import Address
 from pipitshed.proxy.attempt import Attempt
 from pipitshed.proxy.forwarder import Forwarder
@@ -29,7 +30,9 @@
         report_fields: Sequence[str],
         loop: asyncio.AbstractEventLoop,
         max_connections: Callable[[], float] = lambda: math.inf,
+        flow_control: FlowControl | None = None,
     ) -> None:
+        self.flow_control = flow_control or FlowControl(loop)
         self.forwarder = forwarder
         self.loop = loop
         self.report_fields = report_fields  # of load reports, in the settings' order
--- a/pipitshed/upstream/http/connection.py
+++ b/pipitshed/upstream/http/connection.py
@@ -8,10 +8,11 @@
 
 import asyncio
 from collections.abc import Sequence
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 import msgspec
 
+from pipitshed.flow_control import PacedConnection
 from pipitshed.protocols.address import Address
 from pipitshed.protocols.http import BODY_LIMIT_BYTES, MalformedResponseError, ResponseReader
 from pipitshed.proxy.attempt import Attempt
@@ -76,10 +77,13 @@
     ).encode("latin-1") + attempt.body
 
 
-class HttpWorkerConnection(asyncio.Protocol):
+class HttpWorkerConnection(PacedConnection):
     """One connection to a worker; it carries one attempt or probe at a time."""
 
+    slice_bytes = 2048
+
     def __init__(self, client: HttpWorkerClient, address: Address) -> None:
+        super().__init__(client.flow_control)
         self.address = address
         self.attempt: Attempt | None = None
         self.probed_endpoint: Endpoint | None = None
@@ -90,7 +94,6 @@
         self.idle_endpoint: Endpoint | None = None  # whose idle connections the scheduler counts
         self._client = client
         self._reader = ResponseReader(self, MAX_LINE_BYTES)
-        self._transport: asyncio.Transport | None = None
         self._has_unsent_bytes = False
         self._is_sent_reported = True
         self._is_outcome_reported = False
@@ -102,7 +105,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection."""
-        self._transport = cast(asyncio.Transport, transport)  # uvloop's transports do not inherit from it
+        super().connection_made(transport)
+        assert self._transport is not None
         # With a limit of 0, the transport calls `pause_writing` while any byte is unsent.
         self._transport.set_write_buffer_limits(high=0)
         self._client.connected(self)
--- a/pipitshed/upstream/interface_probe.py
+++ b/pipitshed/upstream/interface_probe.py
@@ -8,11 +8,11 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import cast
 
 import h2.events
 import h2.exceptions
 
+from pipitshed.flow_control import FlowControl, PacedConnection
 from pipitshed.protocols.address import Address
 from pipitshed.protocols.grpc import Http2Connection
 from pipitshed.scheduling.events import WorkerId
@@ -24,21 +24,22 @@
 _UNKNOWN, _HTTP, _GRPC = 0, 1, 2  # interfaces
 
 
-class _Probe(asyncio.Protocol):
+class _Probe(PacedConnection):
     """One worker's response to the preface; the result is its interface, or 0 if unknown."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, flow_control: FlowControl) -> None:
+        super().__init__(flow_control)
         self.result: asyncio.Future[int] = loop.create_future()
-        self.transport: asyncio.Transport | None = None
         self._loop = loop
         self._http2 = Http2Connection()
         self._goaway_timer: asyncio.TimerHandle | None = None  # set by the worker's SETTINGS
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the preface."""
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's transports do not inherit from it
+        super().connection_made(transport)
+        assert self._transport is not None
         self._http2.initiate_connection()
-        self.transport.write(self._http2.data_to_send())
+        self._transport.write(self._http2.data_to_send())
 
     def data_received(self, data: bytes) -> None:
         """Handle SETTINGS, GOAWAY and input that is not HTTP/2."""
@@ -67,6 +68,11 @@
         if self._goaway_timer is not None:
             self._goaway_timer.cancel()
 
+    def abort(self) -> None:
+        """Close the connection, if there is one."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def _set_result(self, interface: int) -> None:
         if not self.result.done():
             self.result.set_result(interface)
@@ -76,8 +82,12 @@
     """Probes workers, each in a separate task."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, on_detected: Callable[[WorkerId, Address, int], None]
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_detected: Callable[[WorkerId, Address, int], None],
+        flow_control: FlowControl | None = None,
     ) -> None:
+        self._flow_control = flow_control or FlowControl(loop)
         self._loop = loop
         self._on_detected = on_detected
         self._tasks: set[asyncio.Task[None]] = set()
@@ -89,7 +99,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _run(self, worker: WorkerId, address: Address) -> None:
-        probe = _Probe(self._loop)
+        probe = _Probe(self._loop, self._flow_control)
         interface = _UNKNOWN
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -99,8 +109,7 @@
         except (OSError, ValueError):  # a TimeoutError is an OSError; a malformed host is a ValueError
             pass
         finally:
-            if probe.transport is not None:
-                probe.transport.abort()
+            probe.abort()
         self._on_detected(worker, address, interface)
 
     def close(self) -> None:
--- a/tests/pressure.py
+++ b/tests/pressure.py
@@ -119,6 +119,17 @@
         await asyncio.to_thread(lambda: [flood.close() for flood in floods])
 
 
+@contextlib.asynccontextmanager
+async def drained_log(running: Program) -> AsyncIterator[None]:
+    """Read the program's log while the block runs: a full pipe would stop it."""
+    task = asyncio.create_task(running.logged("a line that is never logged"))
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
 async def connect_many(port: int, count: int, data: bytes) -> list[socket.socket]:
     """Open connections, and send the same bytes on each, as far as the program takes them."""
     sockets = []
--- a/tests/server/test_loop_share.py
+++ b/tests/server/test_loop_share.py
@@ -1,4 +1,4 @@
-"""One peer that sends at full speed does not keep the others from being served, at any socket of the program."""
+"""One peer that sends at full speed does not keep the others from being served, at any socket."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
     slow_async_test,
     wait_until_healthy,
 )
-from pressure import CALLER_PATIENCE_S, assert_all_served, ask_for, flooding, request_head
+from pressure import CALLER_PATIENCE_S, ask_for, assert_all_served, drained_log, flooding, request_head
 
 from pipitshed.protocols.gearman import REQUEST_MAGIC, PacketType, encode_packet
 
@@ -64,22 +64,15 @@
 }
 
 
-def serve_usual(run: Run) -> None:
-    """Serve the usual clients; start what a flood sends, and never end it."""
-    if run.headers["x-request-id"].startswith("usual"):
-        run.serve()
-    else:
-        run.send_event("started")
-
-
 @contextlib.asynccontextmanager
 async def _running(catalog: Catalog | None = None) -> AsyncIterator[Program]:
     async with (
-        Planner("p1", act=serve_usual) as planner,
+        Planner("p1") as planner,
         program(planner, front=FRONT, mgmt=True, catalog=catalog) as running,
     ):
         await wait_until_healthy(running.port)
-        yield running
+        async with drained_log(running):
+            yield running
 
 
 async def _assert_operators_are_answered(port: int) -> None:
@@ -140,8 +133,9 @@
     tasks = []
 
     def report_without_end(run: Run) -> None:
-        serve_usual(run)
-        if run.headers["x-request-id"] == "endless":
+        if run.headers["x-request-id"] != "endless":
+            run.serve()
+        else:
             line = b'{"id":"endless","state":"running","share":0.5}\n'
             data = b"%x\r\n%s\r\n" % (len(line), line) * 4000
             tasks.append(asyncio.get_running_loop().create_task(_send_without_end(run.writer, data)))
@@ -210,11 +204,14 @@
 def test_discovery_at_full_speed_leaves_time_for_others(lines: bytes) -> None:
     @async_test
     async def run() -> None:
-        async with Planner("p1") as planner, EndlessCatalog(lines, planner) as catalog:
-            async with program(planner, mgmt=True, catalog=catalog) as running:
-                await wait_until_healthy(running.port)
-                assert_all_served(await ask_for(running.port, FLOOD_S))
-                await _assert_operators_are_answered(running.mgmt_port)
+        async with (
+            Planner("p1") as planner,
+            EndlessCatalog(lines, planner) as catalog,
+            program(planner, mgmt=True, catalog=catalog) as running,
+        ):
+            await wait_until_healthy(running.port)
+            assert_all_served(await ask_for(running.port, FLOOD_S))
+            await _assert_operators_are_answered(running.mgmt_port)
 
     run()
 
--- a/tests/server/test_peer_memory.py
+++ b/tests/server/test_peer_memory.py
@@ -1,4 +1,4 @@
-"""Peers can't take the program over its memory limit, whatever they send, leave unread or leave unfinished."""
+"""Peers can't take the program over its memory limit, whatever they send or leave unread or unfinished."""
 
 from __future__ import annotations
 
@@ -12,9 +12,10 @@
 from pressure import (
     BODY_BYTES,
     LIMITS,
-    assert_all_served,
     ask_for,
+    assert_all_served,
     connect_many,
+    drained_log,
     flooding,
     request_head,
     watched_memory,
@@ -81,7 +82,8 @@
         program(first, second, memory_mb=memory_mb, sockets=sockets, front=FRONT) as running,
     ):
         with watched_memory(running) as watch:
-            yield running, watch
+            async with drained_log(running):
+                yield running, watch
         assert watch.peak_mb < memory_mb, f"{watch.peak_mb:.1f} of {memory_mb} MB"
 
 
--- a/tests/server/test_run_as_shipped.py
+++ b/tests/server/test_run_as_shipped.py
@@ -23,6 +23,7 @@
     "cli",
     "config",
     "discovery",
+    "flow_control",
     "frontends",
     "protocols",
     "proxy",
