One bound on all memory that peers cause, drawn from limits.memory_mb

Seen by callers: 560 clients with unfinished heads of many short fields, bodies without their last byte or whole pipelines, Gearman jobs in the background, abilities under ever new names and unfinished results of workers took the process over its limit, and it was killed.

Cause: each connection had limits of its own, and nothing added them up. A head kept every field (2,600 of them cost 480 KB); a receive buffer doubled and was kept; nine requests of 64 KiB waited on each connection; a booking that had ended kept its body for its window of 25 s, and any ended request did until the collector came; a worker's abilities, partial results and names were unbounded; a Gearman peer's output was up to 1 MiB.

Change: flow_control.MemoryBudget. What is kept for a peer is charged first: long messages and pipelined requests to half of the budget, short requests to three quarters, so that they still get through; a client's request without room is answered 503 (ERR_QUEUE_FULL), a worker's connection is read no further until there is room, a message that has stalled for 1 s is discarded for others, an update of discovery lowers what the rest may take. Heads keep the fields that are read, buffers what they hold, ended requests no body; unique ids hold 256 bytes, names 256, a worker 1,024 functions.

Two of its tests were wrong and are mended, not relaxed: stand-ins that never start a job made the scheduler refuse for want of capacity, and the bookings of the last one also went to HTTP planners that never end.

--- a/pipitshed/discovery/catalog/watch.py
+++ b/pipitshed/discovery/catalog/watch.py
@@ -8,10 +8,11 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from pipitshed.discovery.catalog.size_limit import OversizedUpdate
+from pipitshed.discovery.catalog.size_limit import MEMORY_BYTES_PER_UPDATE_BYTE, OversizedUpdate
 from pipitshed.discovery.catalog.update_parser import LineAssembler, decode_update
 from pipitshed.flow_control import PacedConnection
 from pipitshed.protocols.http import MalformedResponseError, ResponseReader
@@ -25,6 +26,7 @@
 HEARTBEAT_INTERVAL_S = 2.0  # between the empty lines of a watch
 WATCH_SILENCE_TIMEOUT_S = HEARTBEAT_INTERVAL_S + 0.4  # after which a watch counts as broken
 OVERSIZED_UPDATE_TIMEOUT_S = 10.0  # to the end of an update that is being skipped
+UPDATE_FRACTION = 0.5  # of the memory budget, which one update is charged at most
 READ_SIZE_BYTES = 256 * 1024  # upper bound of one read from a connection
 
 _STATUS_OK = 200
@@ -42,6 +44,7 @@
         self._client = client
         self._is_watch = is_watch
         self._size_limit_bytes = client.size_limit
+        self._update_charge = self.flow_control.memory.charge()
         self._reader = ResponseReader(self, self._size_limit_bytes + READ_SIZE_BYTES)
         self._status = 0
         self._ended = False
@@ -76,6 +79,7 @@
             self._timer.cancel()
         if self._transport is not None:
             self._transport.abort()
+        self._update_charge.release()
         self._client.call_ended()
 
     def fail(self) -> None:
@@ -139,11 +143,21 @@
         except Exception:
             log.exception("discovery update failed")
             self.fail()
+        if not self._ended:
+            self._charge_update()
         # The timeout runs from an update's first byte. Bytes that arrive one at a time must not renew it, as
         # the scheduler counts as informed once discovery sends the list. Only a complete line renews it.
         if self._is_update_incomplete and not was_incomplete and self._oversized is None:
             self._set_update_timeout()
 
+    def _charge_update(self) -> None:
+        """Charge what parsing the update will take, so that others take less meanwhile."""
+        received = self._assembler.size_bytes + len(self._reader.buffer)
+        peak_bytes = int(received * MEMORY_BYTES_PER_UPDATE_BYTE)
+        memory = self.flow_control.memory
+        if math.isfinite(memory.limit_bytes):
+            self._update_charge.set(min(peak_bytes, int(UPDATE_FRACTION * memory.limit_bytes)))
+
     @property
     def _is_update_incomplete(self) -> bool:
         """Whether an update has been received in part."""
--- a/pipitshed/flow_control/input_scheduler.py
+++ b/pipitshed/flow_control/input_scheduler.py
@@ -34,6 +34,7 @@
         self._waiting: deque[PacedConnection] = deque()
         self._is_turn_scheduled = False
         self._used_s: dict[PacedConnection, float] = {}  # of whole reads in this iteration
+        self._reads_until = 0.0  # monotonic time; later reads of this iteration are handled in part
 
     def received(self, connection: PacedConnection, count: int) -> None:
         """Handle what a connection has read into the buffer; the rest waits once its share is used."""
@@ -45,8 +46,12 @@
                 connection.data_received(bytes(data))
                 return
         started_at = monotonic()
+        if not self._is_turn_scheduled:
+            self._reads_until = started_at + TURN_S
+            self._schedule_turn()
         used_s = self._used_s.get(connection, 0.0)
-        handled = connection.handle_slices(data, started_at + SHARE_S - used_s)
+        until = min(started_at + SHARE_S - used_s, self._reads_until)
+        handled = connection.handle_slices(data, until)
         if handled < count:
             self._defer(connection, bytes(data[handled:]))
         elif count == READ_BYTES:
@@ -54,8 +59,6 @@
             self._used_s[connection] = used_s = used_s + monotonic() - started_at
             if used_s >= SHARE_S:
                 self._defer(connection, b"")
-            else:
-                self._schedule_turn()
 
     def _defer(self, connection: PacedConnection, rest: bytes) -> None:
         self.deferred_count += 1
@@ -85,4 +88,5 @@
             if now >= until:
                 break
         if self._waiting:
+            self._reads_until = monotonic() + TURN_S
             self._schedule_turn()
--- a/pipitshed/flow_control/paced_connection.py
+++ b/pipitshed/flow_control/paced_connection.py
@@ -3,12 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from time import monotonic
 from typing import cast
 
 from pipitshed.flow_control.flow_control import FlowControl
+from pipitshed.flow_control.memory_budget import MemoryCharge, Priority
 
 DEFAULT_SLICE_BYTES = 512  # of input, handled in one step; holds a few dozen of the shortest messages
+SHORT_MESSAGE_BYTES = 4 * 1024  # a longer one may fill a part of the memory budget alone
+
+
+class HoldReason(enum.Flag):
+    """Why a connection's input is held."""
+
+    UNREAD_OUTPUT = enum.auto()
+    NO_MEMORY = enum.auto()
 
 
 class PacedConnection(asyncio.BufferedProtocol):
@@ -28,7 +38,7 @@
         self._transport: asyncio.Transport | None = None
         self._deferred = b""  # received, not handled yet
         self._is_deferred = False  # waits for its turn
-        self._is_held = False
+        self._held_for = HoldReason(0)
         self._ends_turn = False  # handles no further slice in this turn
         self._is_drained = True  # the last read emptied the socket
         self._read_count = 0
@@ -55,24 +65,44 @@
         """Whether all that the peer has sent so far is handled, so that its disconnect would be known."""
         return self._is_drained and not self._is_deferred and not self._is_held
 
-    def hold_input(self) -> None:
-        """Handle and read no more input until `release_input`."""
+    @property
+    def _is_held(self) -> bool:
+        return bool(self._held_for)
+
+    def hold_input(self, reason: HoldReason) -> None:
+        """Handle and read no more input until `release_input` is called for the same reason."""
         if not self._is_held:
-            self._is_held = True
             self._pause()
+        self._held_for |= reason
 
-    def release_input(self) -> None:
-        """Handle and read input again."""
+    def release_input(self, reason: HoldReason) -> None:
+        """Handle and read input again, unless it is held for another reason too."""
+        if reason not in self._held_for:
+            return
+        self._held_for &= ~reason
         if self._is_held:
-            self._is_held = False
-            if self._is_deferred:
-                self.flow_control.input.resume(self)
-            else:
-                self._resume()
+            return
+        if self._is_deferred:
+            self.flow_control.input.resume(self)
+        else:
+            self._resume()
 
-    def discard_deferred(self) -> None:
-        """Drop the input that waits: the connection is closed."""
-        self._deferred = b""
+    def charge_partial(self, charge: MemoryCharge, byte_count: int) -> None:
+        """Charge an incomplete message of a sender that is slowed down where no memory is available."""
+        growth = byte_count - charge.byte_count
+        if growth <= 0 or byte_count <= SHORT_MESSAGE_BYTES:
+            charge.set(byte_count)
+            charge.complete()
+        elif charge.try_add(growth, Priority.BULK):
+            charge.allow_reclaim()
+        else:
+            charge.add(growth)
+            charge.complete()
+            self.hold_input(HoldReason.NO_MEMORY)
+            self.flow_control.memory.call_when_available(self._memory_available)
+
+    def _memory_available(self) -> None:
+        self.release_input(HoldReason.NO_MEMORY)
 
     # ---- asyncio.BufferedProtocol
 
@@ -117,6 +147,8 @@
 
     def continue_input(self, until: float) -> bool:
         """Handle input that waits; True if more of it waits for another turn."""
+        if self._transport is None or self._transport.is_closing():
+            self._deferred = b""
         if self._is_held:
             return False  # `release_input` gives it another turn
         handled = self.handle_slices(self._deferred, until)
--- a/pipitshed/frontends/gearman/connection.py
+++ b/pipitshed/frontends/gearman/connection.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from pipitshed.flow_control import PacedConnection
+from pipitshed.flow_control import SHORT_MESSAGE_BYTES, HoldReason, PacedConnection, Priority
 from pipitshed.frontends.gearman.job import GearmanJob
 from pipitshed.protocols.buffer import Buffer, TooLongError
 from pipitshed.protocols.gearman import (
@@ -16,6 +16,7 @@
     PacketType,
     encode_packet,
     missing_bytes,
+    peek_kind,
     take_requests,
 )
 from pipitshed.protocols.http import BODY_LIMIT_BYTES
@@ -25,9 +26,14 @@
     from pipitshed.frontends.gearman.frontend import GearmanFrontend
 
 LINGER_S = 0.5  # time after the last packet during which input is discarded
+MAX_UNSENT_BYTES = 16 * 1024  # of output; beyond it no further input of the peer is handled
 MAX_UNREAD_BYTES = 1024 * 1024  # output that a peer may leave unread before its connection is closed
+WRITE_TIMEOUT_S = 10.0  # time for which a peer may leave more than MAX_UNSENT_BYTES unread
 MAX_OPEN_JOBS = 4096  # over all connections
-_READ_SIZE_BYTES = 256 * 1024
+MAX_UNIQUE_ID_BYTES = 256  # it is passed on to workers, as an idempotency key is
+MAX_COMMAND_BYTES = 4 * 1024  # of a text command
+CONNECTION_BYTES = 8 * 1024  # taken by an open connection without a packet
+JOB_BYTES = 3 * 1024  # taken by a job beside its data
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +65,14 @@
         self.worker: GearmanWorker | None = None
         self._frontend = frontend
         # One read, and an incomplete packet left by the previous one.
-        self._buffer = Buffer(PACKET_HEADER.size + PACKET_LIMIT_BYTES + _READ_SIZE_BYTES)
+        self._buffer = Buffer(PACKET_HEADER.size + PACKET_LIMIT_BYTES + len(self.flow_control.input.buffer))
+        memory = self.flow_control.memory
+        self._connection_charge = memory.charge()
+        self._packet_charge = memory.charge()  # an incomplete packet
+        self._packet_charge.on_reclaim = self._reclaim_packet
+        self._unsent_charge = memory.charge()  # output that the peer leaves unread
+        self._shed_bytes = 0  # still to come of a submission that finds no memory
+        self._write_timer: asyncio.TimerHandle | None = None
         self._jobs: dict[GearmanJob, None] = {}  # jobs whose results the client waits for
         self._is_closing = False
 
@@ -69,13 +82,18 @@
         """Register the connection, and limit its unread output."""
         super().connection_made(transport)
         assert self._transport is not None
-        self._transport.set_write_buffer_limits(high=MAX_UNREAD_BYTES)
+        self._transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+        self._connection_charge.set(CONNECTION_BYTES)
         self._frontend.connections[self] = None
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Withdraw the client's jobs, and end the worker's attempts."""
         self._transport = None
         self._frontend.connections.pop(self, None)
+        for charge in (self._connection_charge, self._packet_charge, self._unsent_charge):
+            charge.release()
+        if self._write_timer is not None:
+            self._write_timer.cancel()
         self._withdraw_jobs()
         if self.worker is not None:
             self.worker.lost()
@@ -85,13 +103,24 @@
         self._withdraw_jobs()
 
     def pause_writing(self) -> None:
-        """Close the connection of a peer that does not read, before its output exhausts memory."""
-        self.abort()
+        """Handle no more input of a peer that does not read, and close its connection after a while."""
+        self.hold_input(HoldReason.UNREAD_OUTPUT)
+        self._write_timer = self._frontend.loop.call_later(WRITE_TIMEOUT_S, self.abort)
+
+    def resume_writing(self) -> None:
+        """Handle input again."""
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+        self._unsent_charge.set(0)
+        self.release_input(HoldReason.UNREAD_OUTPUT)
 
     def data_received(self, data: bytes) -> None:
         """Handle the complete packets and text commands."""
         if self._is_closing:
             return
+        if self._shed_bytes:
+            data = self._skip_shed(data)
         try:
             self._buffer.append(data)
             for request in take_requests(self._buffer):
@@ -101,6 +130,7 @@
                     self.write(self._frontend.command(request.decode("latin-1")))
                 else:
                     self._handle_packet(*request)
+            self._charge_packet()
         except (PacketError, TooLongError) as error:
             # After a packet that can't be parsed, the start of the next one is unknown.
             self.write(encode_packet(PacketType.ERROR, b"ERR_BAD_PACKET", str(error).encode()))
@@ -108,7 +138,39 @@
 
     def next_slice_bytes(self) -> int:
         """The rest of a packet is one slice, as it holds no further packet."""
-        return max(self.slice_bytes, missing_bytes(self._buffer))
+        return max(self.slice_bytes, self._shed_bytes, missing_bytes(self._buffer))
+
+    # ---- memory
+
+    def _charge_packet(self) -> None:
+        """Charge an incomplete packet; without memory for it, shed a submission, and slow a worker down."""
+        byte_count, charge = len(self._buffer), self._packet_charge
+        is_command = byte_count > 0 and self._buffer.peek(1) != b"\0"
+        if is_command and byte_count > MAX_COMMAND_BYTES:
+            raise PacketError("a command is too long")
+        growth = byte_count - charge.byte_count
+        if byte_count <= SHORT_MESSAGE_BYTES or peek_kind(self._buffer) not in _SUBMISSIONS:
+            self.charge_partial(charge, byte_count)
+        elif charge.try_add(growth, Priority.BULK):
+            charge.allow_reclaim()
+        else:
+            self._shed_bytes = missing_bytes(self._buffer)
+            self._buffer.take_all()
+            charge.release()
+
+    def _skip_shed(self, data: bytes) -> bytes:
+        """Skip the rest of a submission that is shed; return what follows it."""
+        skipped = data[: self._shed_bytes]
+        self._shed_bytes -= len(skipped)
+        if not self._shed_bytes:
+            self._write_error(b"ERR_QUEUE_FULL", b"no memory for this job at present")
+        return data[len(skipped) :]
+
+    def _reclaim_packet(self) -> None:
+        """Close the connection of a peer that stopped within a packet, as others need its memory."""
+        self._buffer.take_all()
+        self._write_error(b"ERR_QUEUE_FULL", b"no memory for this packet at present")
+        self.close()
 
     # ---- packets
 
@@ -137,6 +199,8 @@
         parameters = frontend.parameters(name.decode("latin-1"))
         if parameters is None:
             self._write_error(b"ERR_UNKNOWN_FUNCTION", b"no class for this function")
+        elif len(unique_id) > MAX_UNIQUE_ID_BYTES:
+            self._write_error(b"ERR_TOO_LARGE", b"a unique id holds at most 256 bytes")
         elif len(body) > BODY_LIMIT_BYTES:
             self._write_error(b"ERR_TOO_LARGE", b"a job holds at most 65536 bytes")
         elif frontend.closing:
@@ -145,6 +209,12 @@
             self._write_error(b"ERR_QUEUE_FULL", b"too many jobs are open")
         else:
             connection = None if submission.is_background else self
+            charge = self.flow_control.memory.charge()
+            job_bytes = JOB_BYTES + len(unique_id) + len(body)
+            is_short = job_bytes <= SHORT_MESSAGE_BYTES
+            if not charge.try_add(job_bytes, Priority.REQUEST if is_short else Priority.BULK):
+                self._write_error(b"ERR_QUEUE_FULL", b"no memory for this job at present")
+                return
             job = GearmanJob(frontend, frontend.new_handle(), unique_id, connection)
             if connection is not None:
                 self._jobs[job] = None
@@ -152,7 +222,7 @@
             frontend.jobs[job.handle] = job
             # Deferred: if the client has already disconnected, its EOF is read before the next iteration, and
             # the job is not started.
-            frontend.loop.call_soon(frontend.submit, job, parameters, name, body, submission.priority)
+            frontend.loop.call_soon(frontend.submit, job, parameters, name, body, submission.priority, charge)
             self.end_turn()
 
     def _write_error(self, code: bytes, text: bytes) -> None:
@@ -164,6 +234,10 @@
         """Send packets, unless the connection is closing."""
         if self._transport is not None and not self._transport.is_closing() and not self._is_closing:
             self._transport.write(data)
+            if self._write_timer is not None:
+                self._unsent_charge.add(len(data))
+                if self._transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
+                    self.abort()
 
     def ended(self, job: GearmanJob) -> None:
         """Forget a job of this client that has ended."""
--- a/pipitshed/frontends/gearman/frontend.py
+++ b/pipitshed/frontends/gearman/frontend.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from pipitshed.flow_control import FlowControl
+from pipitshed.flow_control import FlowControl, MemoryCharge
 from pipitshed.frontends.gearman.connection import GearmanConnection
 from pipitshed.frontends.gearman.job import GearmanJob
 from pipitshed.frontends.gearman.text_commands import run_command
@@ -74,7 +74,9 @@
         self.closing = False  # no further jobs are accepted
         self._classes = classes  # the numbers of the accepted classes, by name
         self._tenants = tenants
-        self._deduplication = DeduplicationTable(forwarder, worker_client.class_names, loop)
+        self._deduplication = DeduplicationTable(
+            forwarder, worker_client.class_names, loop, self.flow_control.memory
+        )
         self._max_connections = max_connections
         self._label = label.encode("latin-1", "replace")  # makes handles unique across restarts
         self._handle_count = 0
@@ -127,10 +129,17 @@
         return b"H:%s:%d" % (self._label, self._handle_count)
 
     def submit(
-        self, job: GearmanJob, parameters: SubmissionParameters, name: bytes, body: bytes, priority: int
+        self,
+        job: GearmanJob,
+        parameters: SubmissionParameters,
+        name: bytes,
+        body: bytes,
+        priority: int,
+        memory_charge: MemoryCharge,
     ) -> None:
         """Submit a job unless its client has disconnected; the unique id is the idempotency key."""
         if job.handle not in self.jobs:
+            memory_charge.release()
             return
         unique_id = job.unique_id
         if unique_id == _UNIQUE_ID_IS_DATA:
@@ -147,6 +156,7 @@
             priority=priority,
             tenant_name=parameters.tenant_name,
             form_version=parameters.form,
+            memory_charge=memory_charge,
         )
         job.entry = self._deduplication.submit(request, job)
 
--- a/pipitshed/frontends/http/connection.py
+++ b/pipitshed/frontends/http/connection.py
@@ -9,8 +9,13 @@
 import httptools
 import msgspec
 
-from pipitshed.flow_control import PacedConnection
-from pipitshed.frontends.http.request_parser import SINGLE_VALUE_HEADERS, MalformedError
+from pipitshed.flow_control import (
+    SHORT_MESSAGE_BYTES,
+    HoldReason,
+    PacedConnection,
+    Priority,
+)
+from pipitshed.frontends.http.request_parser import KEPT_HEADERS, SINGLE_VALUE_HEADERS, MalformedError
 from pipitshed.frontends.http.responses import response
 from pipitshed.protocols.buffer import Buffer, TooLongError
 from pipitshed.protocols.http import BODY_LIMIT_BYTES, HEAD_LIMIT_BYTES
@@ -30,6 +35,10 @@
 MAX_LINGER_BYTES = 1024 * 1024  # input that is discarded after the last response
 WRITE_TIMEOUT_S = 10.0  # time for which a client may leave its responses unread
 
+MAX_UNSENT_BYTES = 16 * 1024  # of responses; beyond it no further request is read
+CONNECTION_BYTES = 8 * 1024  # taken by an open connection without a request
+REQUEST_BYTES = 2 * 1024  # taken by a request beside its head and body
+
 _HEALTH_PATH = b"/_health"
 _HEADER_FRAMING_BYTES = len(": \r\n")
 _IN_BODY = -1  # value of _head_bytes once the head is complete
@@ -52,6 +61,12 @@
         self._frontend = frontend
         self._parser = httptools.HttpRequestParser(self)
         self._buffer = Buffer(BODY_LIMIT_BYTES)
+        memory = self.flow_control.memory
+        self._connection_charge = memory.charge()
+        self._unsent_charge = memory.charge()  # responses that the client leaves unread
+        self._message_charge = memory.charge()  # the request that is being received
+        self._kept_head_bytes = 0  # of the target and the headers that are kept
+        self._is_shed = False  # the request that is being received finds no memory
         self._resource = b""
         self._headers: dict[bytes, bytes] = {}
         self._head_bytes = 0  # received of an incomplete head; _IN_BODY after the head
@@ -89,6 +104,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout of the first request."""
         super().connection_made(transport)
+        assert self._transport is not None
+        self._transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+        self._connection_charge.set(CONNECTION_BYTES)
         self._timer = self._frontend.loop.call_later(FIRST_REQUEST_TIMEOUT_S, self._on_timeout)
         self._frontend.connected(self)
 
@@ -100,7 +118,10 @@
         if self._write_timer is not None:
             self._write_timer.cancel()
         self._withdraw()
-        self.discard_deferred()
+        self._discard_message()
+        self._unsent_charge.release()
+        self._connection_charge.release()
+        del self._parser  # it refers to this object
 
     def eof_received(self) -> None:
         """Treat the client as disconnected immediately, even if responses are still unread."""
@@ -113,7 +134,7 @@
         No request starts in this state, because a disconnect of the client would not be noticed.
         """
         self._is_write_paused = True
-        self.hold_input()
+        self.hold_input(HoldReason.UNREAD_OUTPUT)
         if self._transport is not None and not self._transport.is_closing():
             self._write_timer = self._frontend.loop.call_later(WRITE_TIMEOUT_S, self._transport.abort)
 
@@ -122,7 +143,8 @@
         self._is_write_paused = False
         if self._write_timer is not None:
             self._write_timer.cancel()
-        self.release_input()
+        self._unsent_charge.set(0)
+        self.release_input(HoldReason.UNREAD_OUTPUT)
         if self._transport is not None and not self._transport.is_closing():
             self._process_queue()
 
@@ -146,6 +168,7 @@
                 raise MalformedError(431, "the head is too long")
             if self._message_bytes > MAX_MESSAGE_BYTES:
                 raise MalformedError(413, "the framing is too long")
+            self._charge_received()
         except httptools.HttpParserUpgrade:
             self._reject_input(400)
         except httptools.HttpParserError as error:
@@ -166,12 +189,53 @@
     def _withdraw(self) -> None:
         """After a disconnect: discard the queued requests, and withdraw the one in progress."""
         self._is_last = True
-        self._queue.clear()
+        self._discard_queue()
         if self._request_context is not None:
             context, self._request_context = self._request_context, None
             self._frontend.open_ids.discard(self._open_id)
             self._frontend.forwarder.withdraw(context)
 
+    # ---- memory
+
+    def _charge_received(self) -> None:
+        """Charge what has come so far of an incomplete request."""
+        if self._is_receiving and not self._is_shed:
+            self._charge_message()
+
+    def _charge_message(self, extra_bytes: int = 0) -> None:
+        """Charge the request that is being received; shed it where the budget has no room for it."""
+        byte_count = self._kept_head_bytes + len(self._buffer) + extra_bytes
+        charge = self._message_charge
+        is_short = byte_count <= SHORT_MESSAGE_BYTES and self._request_context is None and not self._queue
+        if not charge.try_add(
+            byte_count - charge.byte_count, Priority.REQUEST if is_short else Priority.BULK
+        ):
+            self._shed_message()
+        elif not is_short:
+            charge.on_reclaim = self._reclaim_message
+            charge.allow_reclaim()
+
+    def _shed_message(self) -> None:
+        """Keep nothing of the request that is being received; it is answered 503 at its end."""
+        self._is_shed = True
+        self._discard_message()
+
+    def _reclaim_message(self) -> None:
+        """Answer a stalled request with 503, as others need its memory; its rest is discarded."""
+        self._shed_message()
+        self._reject_input(503)
+
+    def _discard_message(self) -> None:
+        self._message_charge.release()
+        self._buffer.take_all()
+        self._resource, self._headers, self._kept_head_bytes = b"", {}, 0
+
+    def _discard_queue(self) -> None:
+        for queued in self._queue:
+            if not isinstance(queued, int):
+                queued.memory_charge.release()
+        self._queue.clear()
+
     # ---- timeouts
 
     def _cancel_timeout(self) -> None:
@@ -200,13 +264,17 @@
         self._resource = b""
         self._headers = {}
         self._parsed_head_bytes = 0
+        self._kept_head_bytes = 0
+        self._is_shed = False
         self._buffer.take_all()
         if self._timer is None:
             self._timer = self._frontend.loop.call_later(NEXT_REQUEST_TIMEOUT_S, self._on_timeout)
 
     def on_url(self, url: bytes) -> None:
         """Called by the parser with a part of the request target."""
-        self._resource += url
+        if not self._is_shed:
+            self._resource += url
+            self._kept_head_bytes += len(url)
         self._parsed_head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -217,8 +285,10 @@
         self._parsed_head_bytes += len(name) + len(value) + _HEADER_FRAMING_BYTES
         if name in SINGLE_VALUE_HEADERS and name in self._headers:
             raise MalformedError(400, f"{name.decode()} is repeated")
-        # Whitespace around a value is not part of it (RFC 9110, 5.5); the parser keeps it after the value.
-        self._headers[name] = value.strip(b" \t")
+        if name in KEPT_HEADERS and not self._is_shed:
+            # Whitespace around a value is not part of it (RFC 9110, 5.5); the parser keeps it behind it.
+            self._headers[name] = value.strip(b" \t")
+            self._kept_head_bytes += len(name) + len(value)
 
     def on_headers_complete(self) -> None:
         """Called by the parser: check the complete head."""
@@ -239,7 +309,8 @@
     def on_body(self, data: bytes) -> None:
         """Called by the parser with a part of the body; TooLongError beyond the limit."""
         self._body_bytes_left = max(0, self._body_bytes_left - len(data))
-        self._buffer.append(data)
+        if not self._is_shed:
+            self._buffer.append(data)
 
     def on_message_complete(self) -> None:
         """Called by the parser: queue the request, or the status that answers it."""
@@ -252,23 +323,45 @@
         if not self._parser.should_keep_alive():
             self._is_last = True
         verb: bytes = self._parser.get_method()
-        body = self._buffer.take_all()
+        if verb == b"POST" and self._may_queue_request() and self._queue_request(verb):
+            # Deferred: if the client has already disconnected, its EOF is read before the next iteration, and
+            # the request is not started.
+            self._frontend.loop.call_soon(self._process_queue)
+            return
+        self._queue_status(verb)
+        self._discard_message()
+        self._process_queue()
+
+    def _may_queue_request(self) -> bool:
+        return not self._is_shed and len(self._queue) < MAX_PIPELINED_REQUESTS
+
+    def _queue_status(self, verb: bytes) -> None:
+        """Queue the answer to a message that is no job, or that is shed."""
         if verb == b"GET":
             self._queue.append(self._health_status())
         elif verb != b"POST":
             self._queue.append(405)
-        elif len(self._queue) >= MAX_PIPELINED_REQUESTS:
+        else:
             # A status needs less memory than a request. Reading continues, so that a disconnect is noticed.
             self._queue.append(503)
             if len(self._queue) >= MAX_QUEUED_RESPONSES:
                 self._end_flood()
-        else:
-            self._queue.append(self._frontend.parser.request(verb, self._resource, self._headers, body))
-            # Deferred: if the client has already disconnected, its EOF is read before the next iteration, and
-            # the request is not started.
-            self._frontend.loop.call_soon(self._process_queue)
-            return
-        self._process_queue()
+
+    def _queue_request(self, verb: bytes) -> bool:
+        """Queue the received request; False if the memory budget has no room for it."""
+        self._charge_message(REQUEST_BYTES)
+        if self._is_shed:
+            return False
+        charge, self._message_charge = self._message_charge, self.flow_control.memory.charge()
+        charge.complete()
+        body, headers = self._buffer.take_all(), self._headers
+        try:
+            request = self._frontend.parser.request(verb, self._resource, headers, body, charge)
+        except MalformedError:
+            charge.release()
+            raise
+        self._queue.append(request)
+        return True
 
     def _health_status(self) -> int:
         if self._resource.split(b"?")[0] != _HEALTH_PATH:
@@ -284,8 +377,9 @@
 
     def _end_flood(self) -> None:
         """Answer all requests of a client that floods the connection, and read no more of them."""
-        for index, _ in enumerate(self._queue):
-            self._queue[index] = 503
+        count = len(self._queue)
+        self._discard_queue()
+        self._queue.extend([503] * count)
         self._is_last = True
         if self._request_context is not None:
             context = self._request_context
@@ -310,6 +404,7 @@
                 self._write(first)
             elif first.id in self._frontend.open_ids:
                 # Workers identify requests by the id: two open ones with the same id would be confused.
+                first.memory_charge.release()
                 self._write(409)
             else:
                 self._open_id = first.id
@@ -325,7 +420,10 @@
             return
         self._frontend.used(self)
         is_final = (self._is_last or self._frontend.draining) and not self._queue
-        transport.write(response(status, body, extra_headers, is_final))
+        data = response(status, body, extra_headers, is_final)
+        transport.write(data)
+        if self._is_write_paused:
+            self._unsent_charge.add(len(data))
         if is_final:
             self.close()
 
@@ -381,7 +479,7 @@
         self._frontend.closing[self] = None
         self._is_last = True
         self._message_bytes = 0
-        self.release_input()  # to be discarded
+        self.release_input(HoldReason.UNREAD_OUTPUT)  # to be discarded
         transport.write_eof()
         self._cancel_timeout()
         self._timer = self._frontend.loop.call_later(self._frontend.linger, self._end_linger)
--- a/pipitshed/frontends/http/request_parser.py
+++ b/pipitshed/frontends/http/request_parser.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 from urllib.parse import unquote_plus
 
+from pipitshed.flow_control import NO_CHARGE, MemoryCharge
 from pipitshed.proxy.forwarder import Forwarder
 from pipitshed.proxy.request import Request
 from pipitshed.scheduling.settings import TenantNumbers
@@ -29,6 +30,9 @@
     )
 )
 
+# The headers that are read; others are not kept, as none is passed on to a worker.
+KEPT_HEADERS = SINGLE_VALUE_HEADERS | {b"cookie", b"content-type", b"content-length", b"expect"}
+
 # The headers that correspond to the envelope fields of a client's message format.
 _HEADER_OF_FIELD = {
     "id": b"x-request-id",
@@ -104,7 +108,14 @@
         self._tenants = {name.encode(): number for name, number in tenants.by_name.items()}
         self._unknown_tenant = tenants.unknown
 
-    def request(self, verb: bytes, resource: bytes, head: dict[bytes, bytes], body: bytes) -> Request:
+    def request(
+        self,
+        verb: bytes,
+        resource: bytes,
+        head: dict[bytes, bytes],
+        body: bytes,
+        memory_charge: MemoryCharge = NO_CHARGE,
+    ) -> Request:
         """Build the request; MalformedError if it can't be accepted."""
         form = self._merge_envelope(head, body) if self._forms is not None else None
         request_id, key = head.get(b"x-request-id", b""), head.get(b"idempotency-key", b"")
@@ -140,6 +151,7 @@
             is_retry=head.get(b"x-retry", b"") == b"1",
             tenant_name=head.get(b"x-tenant", b"").decode("latin-1") if form is not None else "",
             form_version=form,
+            memory_charge=memory_charge,
         )
 
     def _merge_envelope(self, head: dict[bytes, bytes], body: bytes) -> int:
--- a/pipitshed/protocols/gearman.py
+++ b/pipitshed/protocols/gearman.py
@@ -118,6 +118,12 @@
     return max(0, PACKET_HEADER.size + int(length) - len(buffer))
 
 
+def peek_kind(buffer: Buffer) -> int:
+    """The packet type in the complete header at the start of the buffer."""
+    _, number, _ = PACKET_HEADER.unpack(buffer.peek(PACKET_HEADER.size))
+    return int(number)
+
+
 def take_requests(buffer: Buffer) -> Iterator[tuple[PacketType, list[bytes]] | bytes]:
     """Consume the complete requests in the buffer: packets, or lines of text commands."""
     while len(buffer):
--- a/pipitshed/proxy/deduplication.py
+++ b/pipitshed/proxy/deduplication.py
@@ -11,13 +11,15 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from pipitshed.flow_control import NO_CHARGE, MemoryBudget, MemoryCharge
 from pipitshed.proxy.forwarder import Forwarder
 from pipitshed.proxy.request import Request, RequestContext, Requester, TranslationFailure
 from pipitshed.scheduling.events import ProgressKind
 from pipitshed.scheduling.settings import Idempotency
 
 DeduplicationKey = tuple[str, str]  # name of the job class, and idempotency key
-CACHED_RESULT_BYTES = 16 * 1024 * 1024  # the oldest results beyond it are dropped; their entries are kept
+CACHED_RESULTS_FRACTION = 0.1  # of the memory budget; the oldest results beyond it are dropped
+ENTRY_BYTES = 2 * 1024  # taken by an ended request that is remembered, beside its key and result
 
 
 @dataclass(slots=True, eq=False)
@@ -31,6 +33,7 @@
     result: bytes | None = None
     ended: bool = False
     last_progress: dict[ProgressKind, float] = field(default_factory=dict)
+    memory_charge: MemoryCharge = NO_CHARGE  # of an ended request
 
     def succeeded(self, result: bytes) -> None:
         """Keep the result, and pass it to all waiting requesters."""
@@ -74,11 +77,17 @@
         class_names: The names by class number: a class that a reload changes gets another number, but a
             resubmission after it must find the entry of the first submission.
         loop: The event loop.
+        memory: Bounds what is remembered of ended requests.
     """
 
     def __init__(
-        self, forwarder: Forwarder, class_names: Sequence[str], loop: asyncio.AbstractEventLoop
+        self,
+        forwarder: Forwarder,
+        class_names: Sequence[str],
+        loop: asyncio.AbstractEventLoop,
+        memory: MemoryBudget,
     ) -> None:
+        self._memory = memory
         self._forwarder = forwarder
         self._class_names = class_names
         self._loop = loop
@@ -96,7 +105,9 @@
             if key is not None:
                 self._entries[key] = entry
             entry.context = self._forwarder.submit(request, entry)
-        elif not entry.ended:
+            return entry
+        request.memory_charge.release()  # the request of the entry runs, or has run
+        if not entry.ended:
             self._join(entry, requester)
         elif entry.result is not None:
             requester.succeeded(entry.result)
@@ -145,11 +156,12 @@
             self._entries.pop(entry.key, None)
             return
         self._loop.call_at(max(self._window_end(entry.context), self._loop.time()), self._window_ended, entry)
+        entry.memory_charge = self._memory.charge(ENTRY_BYTES + len(entry.key[1]) + len(entry.result or b""))
         if entry.result is not None:
             self._cached.append(entry)
             self._cached_bytes += len(entry.result)
         # Results of up to 64 KiB each, kept for a whole window, would exceed the memory limit.
-        while self._cached_bytes > CACHED_RESULT_BYTES:
+        while self._cached_bytes > CACHED_RESULTS_FRACTION * self._memory.limit_bytes:
             self._drop_result(self._cached.popleft())
 
     def _window_end(self, context: RequestContext) -> float:
@@ -166,7 +178,10 @@
         if entry in self._cached:
             self._cached.remove(entry)
             self._drop_result(entry)
+        entry.memory_charge.release()
 
     def _drop_result(self, entry: DeduplicationEntry) -> None:
-        self._cached_bytes -= len(entry.result or b"")
+        byte_count = len(entry.result or b"")
+        self._cached_bytes -= byte_count
+        entry.memory_charge.add(-byte_count)
         entry.result = None
--- a/pipitshed/proxy/request.py
+++ b/pipitshed/proxy/request.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any, Protocol
 
+from pipitshed.flow_control import NO_CHARGE, MemoryCharge
 from pipitshed.scheduling.events import ProgressKind
 
 if TYPE_CHECKING:
     from pipitshed.proxy.attempt import Attempt
 
 
+KEPT_BODY_BYTES = 1024  # of a request that has ended; a longer body is dropped
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A job that a client requests; `method` and `target` are passed to the worker unchanged."""
@@ -33,6 +37,7 @@
     is_retry: bool = False
     tenant_name: str = ""  # as the client sent it, even if the settings don't contain it
     form_version: int | None = None  # version of the message form; None without translation
+    memory_charge: MemoryCharge = field(default=NO_CHARGE, repr=False, compare=False)  # released at its end
 
 
 class TranslationFailure(Protocol):
@@ -99,3 +104,13 @@
     def may_have_run(self) -> bool:
         """Whether any attempt may have run the job."""
         return any(attempt.may_have_run for attempt in self.attempts)
+
+    def release_memory(self) -> None:
+        """Keep no message of a request that has ended: it may be remembered, and its attempts refer to it."""
+        self.request.memory_charge.release()
+        if len(self.request.body) > KEPT_BODY_BYTES:
+            self.request = replace(self.request, body=b"")
+        self.translated = None
+        for attempt in self.attempts:
+            attempt.body = b""
+            attempt.transport_state = None
--- a/pipitshed/proxy/request_lifecycle.py
+++ b/pipitshed/proxy/request_lifecycle.py
@@ -224,6 +224,7 @@
         """Remove a request that is answered and has no attempt in flight."""
         if context.answered and all(attempt.finished for attempt in context.attempts):
             self._contexts.pop(context.job_id, None)
+            context.release_memory()
 
     def workers_in_use(self) -> set[WorkerId]:
         """The workers with attempts in flight, or waiting to start."""
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -120,7 +120,7 @@
     tenants = TenantRegistry.first(config.tenants)
     names = Names(NameIndex(config.zones), NameIndex(config.kinds), class_names, tenants)
     descriptors = DescriptorBudget(config.descriptor_limit)
-    flow_control = FlowControl(loop)
+    flow_control = FlowControl(loop, config.memory_mb)
     forwarder = Forwarder(config.settings, config.seed, loop, open_decision_log(config))
     http_workers = HttpWorkerClient(
         forwarder, config.report_fields, loop, descriptors.left_for_workers, flow_control
@@ -315,6 +315,7 @@
         location,
         BODY_LIMIT_BYTES,
         loop,
+        parts.flow_control.memory,
     )
     label = f"{config.name or 'pipitshed'}-{config.seed & INSTANCE_ID_MASK:08x}"
     return GearmanFrontend(
--- a/pipitshed/server/reload.py
+++ b/pipitshed/server/reload.py
@@ -137,6 +137,7 @@
         if parts.placement_plan is not None:
             parts.placement_plan.apply_settings(own_zone_name(config), settings.guarantees.slow_start_ms)
         parts.descriptors.descriptor_count = config.descriptor_limit
+        parts.flow_control.memory.set_limit(config.memory_mb)
 
     def _with_first_kind_number(self, job_class: JobClass, config: Config) -> JobClass:
         """The class with the number that its worker kind had at the start."""
--- a/pipitshed/upstream/gearman.py
+++ b/pipitshed/upstream/gearman.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
+from pipitshed.flow_control import MemoryBudget, MemoryCharge, Priority
 from pipitshed.protocols.gearman import PacketError, PacketType, encode_packet
 from pipitshed.proxy.attempt import Attempt
 from pipitshed.proxy.forwarder import Forwarder
@@ -15,6 +17,9 @@
 
 SOURCE = "gearman workers"
 MAX_PROGRESS_COUNT = 1e18
+MAX_ABILITIES = 1024  # of one worker
+MAX_NAME_CHARS = 256  # of a function or a worker
+ABILITY_BYTES = 512  # taken by one
 
 # The response to each kind of request for a job.
 _ASSIGNMENTS = {
@@ -23,6 +28,13 @@
     PacketType.GRAB_JOB_ALL: PacketType.JOB_ASSIGN_ALL,
 }
 
+_ABILITY_KINDS = (
+    PacketType.CAN_DO,
+    PacketType.CAN_DO_TIMEOUT,
+    PacketType.CANT_DO,
+    PacketType.RESET_ABILITIES,
+)
+
 # The packets that only workers send.
 WORKER_KINDS = frozenset(
     (
@@ -53,6 +65,17 @@
     def abort(self) -> None:
         """Close without flushing."""
 
+    def charge_partial(self, charge: MemoryCharge, byte_count: int) -> None:
+        """Charge an incomplete result; the worker is slowed down where no memory is available."""
+
+
+@dataclass(slots=True)
+class _PartialResult:
+    """What a worker has sent of a result so far, by WORK_DATA."""
+
+    data: bytearray
+    memory_charge: MemoryCharge
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerLocation:
@@ -81,26 +104,16 @@
         self.is_listed = False
         self.is_removed = False
         self._is_retiring = False  # no new jobs; closed once its last job has ended
-        self._partial_results: dict[bytes, bytes] = {}  # WORK_DATA so far, by handle
+        self._partial_results: dict[bytes, _PartialResult] = {}  # by handle
+        self._abilities_charge = client.memory.charge()
         self._is_asleep = False
 
     def handle(self, kind: PacketType, arguments: list[bytes]) -> None:
         """Handle one packet; PacketError if it is malformed."""
-        if kind in (PacketType.CAN_DO, PacketType.CAN_DO_TIMEOUT):
-            timeout_s = arguments[1] if kind is PacketType.CAN_DO_TIMEOUT else b"0"
-            if not timeout_s.isdigit():
-                raise PacketError("CAN_DO_TIMEOUT needs whole seconds")
-            if not self._is_retiring:
-                self.abilities[_text(arguments[0])] = float(timeout_s)
-                self.client.list_worker(self)
-        elif kind is PacketType.CANT_DO:
-            self.abilities.pop(_text(arguments[0]), None)
-            self.client.list_worker(self)
-        elif kind is PacketType.RESET_ABILITIES:
-            self.abilities.clear()
-            self.client.list_worker(self)
+        if kind in _ABILITY_KINDS:
+            self._change_abilities(kind, arguments)
         elif kind is PacketType.SET_CLIENT_ID:
-            self.name = _text(arguments[0]) or "-"
+            self.name = _text(arguments[0][:MAX_NAME_CHARS]) or "-"
         elif kind is PacketType.PRE_SLEEP:
             self._is_asleep = True
             self._wake_up()
@@ -109,6 +122,35 @@
         elif kind is not PacketType.ALL_YOURS:
             self._handle_work(kind, arguments)
 
+    def _change_abilities(self, kind: PacketType, arguments: list[bytes]) -> None:
+        if kind is PacketType.RESET_ABILITIES:
+            self._clear_abilities()
+            self.client.list_worker(self)
+        elif kind is PacketType.CANT_DO:
+            if self.abilities.pop(_text(arguments[0]), None) is not None:
+                self._abilities_charge.add(-ABILITY_BYTES)
+            self.client.list_worker(self)
+        else:
+            timeout_s = arguments[1] if kind is PacketType.CAN_DO_TIMEOUT else b"0"
+            if not timeout_s.isdigit():
+                raise PacketError("CAN_DO_TIMEOUT needs whole seconds")
+            if not self._is_retiring:
+                self._add_ability(_text(arguments[0]), float(timeout_s))
+
+    def _add_ability(self, function: str, timeout_s: float) -> None:
+        is_new = function not in self.abilities
+        if len(function) > MAX_NAME_CHARS or (is_new and len(self.abilities) >= MAX_ABILITIES):
+            raise PacketError("too many functions, or too long a name")
+        if is_new and not self._abilities_charge.try_add(ABILITY_BYTES, Priority.REQUEST):
+            raise PacketError("no memory for this function at present")
+        self.abilities[function] = timeout_s
+        if is_new:
+            self.client.list_worker(self)
+
+    def _clear_abilities(self) -> None:
+        self.abilities.clear()
+        self._abilities_charge.release()
+
     def add(self, attempt: Attempt) -> None:
         """Queue an attempt until the worker asks for a job."""
         self.waiting.append(attempt)
@@ -161,10 +203,7 @@
             forwarder.attempt_progressed(attempt, ProgressKind.PROGRESS, share)
             return
         if kind is PacketType.WORK_DATA:
-            result = self._partial_results.get(handle, b"") + arguments[1]
-            if len(result) > self.client.body_limit:
-                raise PacketError("the result is too long")
-            self._partial_results[handle] = result
+            self._add_to_result(handle, arguments[1])
             return
         if kind is PacketType.WORK_WARNING:
             return
@@ -172,13 +211,30 @@
         del self.running[handle]
         if self._is_retiring:
             self._close_if_idle()
-        result = self._partial_results.pop(handle, b"")
+        result = self._take_partial_result(handle)
         if kind is PacketType.WORK_COMPLETE:
             forwarder.attempt_finished(attempt, Outcome.OK, result + arguments[1])
         else:
             error = arguments[1] if kind is PacketType.WORK_EXCEPTION else b""
             forwarder.attempt_finished(attempt, Outcome.ERROR, error)
 
+    def _add_to_result(self, handle: bytes, data: bytes) -> None:
+        partial = self._partial_results.get(handle)
+        if partial is None:
+            partial = _PartialResult(bytearray(), self.client.memory.charge())
+            self._partial_results[handle] = partial
+        if len(partial.data) + len(data) > self.client.body_limit:
+            raise PacketError("the result is too long")
+        partial.data += data
+        self.connection.charge_partial(partial.memory_charge, len(partial.data))
+
+    def _take_partial_result(self, handle: bytes) -> bytes:
+        partial = self._partial_results.pop(handle, None)
+        if partial is None:
+            return b""
+        partial.memory_charge.release()
+        return bytes(partial.data)
+
     def stop(self, handle: bytes) -> None:
         """Abandon an assigned job, which the protocol has no way to cancel.
 
@@ -186,10 +242,10 @@
         forbid a second run.
         """
         del self.running[handle]
-        self._partial_results.pop(handle, None)
+        self._take_partial_result(handle)
         self._is_retiring = True
         if self.running:
-            self.abilities.clear()
+            self._clear_abilities()
             self.client.list_worker(self)
         self._close_if_idle()
 
@@ -202,7 +258,9 @@
         if self.is_removed:
             return
         self.is_removed = True
-        self.abilities.clear()
+        self._clear_abilities()
+        for handle in list(self._partial_results):
+            self._take_partial_result(handle)
         self.client.list_worker(self)
         running, waiting = list(self.running.values()), self.waiting
         self.running, self.waiting = {}, []
@@ -236,6 +294,7 @@
         location: Where all workers are.
         body_limit: The maximum size of a result in bytes.
         loop: The event loop.
+        memory: Bounds what the workers take.
     """
 
     def __init__(
@@ -246,9 +305,11 @@
         location: WorkerLocation,
         body_limit: int,
         loop: asyncio.AbstractEventLoop,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.forwarder = forwarder
         self.loop = loop
+        self.memory = memory or MemoryBudget(math.inf, loop.time)
         self.body_limit = body_limit
         self.class_names = class_names
         self.workers: dict[GearmanWorker, None] = {}
--- a/pipitshed/upstream/grpc/stream.py
+++ b/pipitshed/upstream/grpc/stream.py
@@ -34,6 +34,7 @@
         "has_received_message",
         "is_sent",
         "_buffer",
+        "_message_charge",
         "_timer",
     )
 
@@ -45,6 +46,8 @@
         self.has_received_message = False
         self.is_sent = False  # END_STREAM has been passed to the HTTP/2 library
         self._buffer = bytearray()  # received bytes of an incomplete message
+        self._message_charge = connection.flow_control.memory.charge()
+        self._message_charge.on_reclaim = self._give_up
         self._timer: asyncio.TimerHandle | None = None
 
     def receive(self, data: bytes) -> None:
@@ -61,8 +64,14 @@
                     return
         except (BadMessageError, DecodeError) as error:
             log.info("grpc: %s", error)
-            self.report(Outcome.RESET)
-            self.connection.close_stream(self)
+            self._give_up()
+            return
+        if not self.attempt.finished:
+            self.connection.charge_partial(self._message_charge, len(self._buffer))
+
+    def _give_up(self) -> None:
+        self.report(Outcome.RESET)
+        self.connection.close_stream(self)
 
     def _handle_event(self, event: planner_pb2.RunEvent) -> None:
         kind, forwarder = event.WhichOneof("event"), self.connection.client.forwarder
@@ -110,3 +119,4 @@
         if self._timer is not None:
             self._timer.cancel()
         self.unsent.release()
+        self._message_charge.release()
--- a/pipitshed/upstream/http/connection.py
+++ b/pipitshed/upstream/http/connection.py
@@ -93,6 +93,8 @@
         self.idle_deadline = 0.0
         self.idle_endpoint: Endpoint | None = None  # whose idle connections the scheduler counts
         self._client = client
+        self._line_charge = self.flow_control.memory.charge()  # an incomplete line of an answer
+        self._line_charge.on_reclaim = self._give_up
         self._reader = ResponseReader(self, MAX_LINE_BYTES)
         self._has_unsent_bytes = False
         self._is_sent_reported = True
@@ -174,9 +176,9 @@
         except MalformedResponseError:
             if self.attempt is not None and data.startswith(HTTP2_SETTINGS_PREFIX):
                 self._client.on_wrong_interface(self.attempt.endpoint)
-            self._finish(Outcome.RESET)
-            self.close()
+            self._give_up()
             return
+        self.charge_partial(self._line_charge, len(self._reader.buffer))
         if self.attempt is None and self.probed_endpoint is None:
             # A second answer has begun after the first: its rest must not be parsed as the next one.
             if self._reader.is_receiving:
@@ -186,10 +188,16 @@
             # would keep the connection open forever.
             self._answer_end_timer = self._client.loop.call_later(ANSWER_END_TIMEOUT_S, self.close)
 
+    def _give_up(self) -> None:
+        """End an answer that can't be read, or that stalls while others need its memory."""
+        self._finish(Outcome.RESET)
+        self.close()
+
     def connection_lost(self, _exc: Exception | None) -> None:
         """Report the outcome, unless one has been reported."""
         self._finish(Outcome.CONNECT_FAILED if self._has_unsent_bytes else Outcome.RESET)
         self._cancel_timers()
+        self._line_charge.release()
         if self.idle_endpoint is not None:
             self._client.forwarder.connection_lost(self.idle_endpoint)
         self._client.lost(self)
--- a/tests/server/test_peer_memory.py
+++ b/tests/server/test_peer_memory.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import json
 from collections.abc import Callable
@@ -183,10 +182,12 @@
                 clients.append(await HttpClient.to(running.port))
                 clients[-1].ask(f"job-{number}", "book", Idempotency_Key=f"k{number}", X_Deadline="9.0")
             for worker in workers:
-                with contextlib.suppress(TimeoutError):
-                    handle = (await asyncio.wait_for(worker.grab(), 0.2))[0]
-                    for _ in range(15):
-                        worker.send(PacketType.WORK_DATA, handle, b"r" * 4000)
+                kind, arguments = await worker.receive()
+                while kind not in (PacketType.JOB_ASSIGN, PacketType.NO_JOB):
+                    worker.send(PacketType.GRAB_JOB)
+                    kind, arguments = await worker.receive()
+                for _ in range(15 if kind is PacketType.JOB_ASSIGN else 0):
+                    worker.send(PacketType.WORK_DATA, arguments[0], b"r" * 4000)
             assert_all_served(await ask_for(running.port, HOLD_S))
             for peer in (*workers, *clients):
                 peer.writer.transport.abort()
@@ -216,24 +217,19 @@
 
     @slow_async_test
     async def run() -> None:
-        async with _limited(32, 256) as (running, _):
+        async with program(memory_mb=32, sockets=256, front=FRONT) as running:
             worker = await GearmanPeer.to(running.gearman_port)
             await worker.register(b"book_pallet")
             client = await GearmanPeer.to(running.gearman_port)
-            for number in range(400):
-                await client.submit(b"book_pallet", b"u%d" % number, b"p" * BODY_BYTES)
-                while (await client_or_worker(worker)) != PacketType.JOB_ASSIGN:
-                    pass
-                await client.expect(PacketType.WORK_COMPLETE)
-
-    async def client_or_worker(worker: GearmanPeer) -> PacketType:
-        kind, arguments = await worker.receive()
-        if kind is PacketType.NOOP:
-            worker.send(PacketType.GRAB_JOB)
-        elif kind is PacketType.JOB_ASSIGN:
-            worker.send(PacketType.WORK_COMPLETE, arguments[0], b"done")
-            worker.send(PacketType.PRE_SLEEP)
-        return kind
+            with watched_memory(running) as watch:
+                for number in range(400):
+                    await client.submit(b"book_pallet", b"u%d" % number, b"p" * BODY_BYTES)
+                    handle = (await worker.grab())[0]
+                    worker.send(PacketType.WORK_COMPLETE, handle, b"done")
+                    worker.send(PacketType.PRE_SLEEP)
+                    while (await client.receive())[0] is not PacketType.WORK_COMPLETE:
+                        pass
+            assert watch.peak_mb < 32, watch
 
     run()
 
