A non-idempotent job does not run again when its id comes again

Cause: HttpFrontend.open_ids forgot an id with its answer or its client, although an attempt had been sent. Nothing of it reached the process that takes over.

Change: proxy.executed_requests remembers the id of each request that may have run, unless its class may be repeated freely, for its deadline or window, and forgets it where all attempts turn out not to have run; the front end answers 409. On a passed socket, both processes append records to files of a minute each in TMPDIR (proxy.executed_id_files), by the monotonic clock that they share.

Related: Gearman's unique ids are remembered by the deduplication table already, in one process alone: a booking sent again to the other process of an upgrade is not recognised there (read, not run; its fronts have no passed socket).

--- a/pipitshed/frontends/http/connection.py
+++ b/pipitshed/frontends/http/connection.py
@@ -402,8 +402,9 @@
             first = self._queue.popleft()
             if isinstance(first, int):
                 self._write(first)
-            elif first.id in self._frontend.open_ids:
-                # Workers identify requests by the id: two open ones with the same id would be confused.
+            elif first.id in self._frontend.open_ids or first.id in self._frontend.executed:
+                # Workers identify requests by the id: two open ones with the same id would be confused, and
+                # one that may have run must not run again.
                 first.memory_charge.release()
                 self._write(409)
             else:
--- a/pipitshed/frontends/http/frontend.py
+++ b/pipitshed/frontends/http/frontend.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from itertools import islice
 
 from pipitshed.flow_control import FlowControl
@@ -29,6 +29,7 @@
         loop: asyncio.AbstractEventLoop,
         ready: Callable[[], bool],
         flow_control: FlowControl | None = None,
+        executed: Container[str] = frozenset(),
     ) -> None:
         self.flow_control = flow_control or FlowControl(loop)
         self.forwarder = forwarder
@@ -42,6 +43,7 @@
         self.closing: dict[HttpConnection, None] = {}  # closing; their last responses may still be in transit
         self.linger = LINGER_S
         self.open_ids: set[str] = set()
+        self.executed = executed  # ids of requests that must not run again
         self._max_connections = max_connections
 
     def connection(self) -> HttpConnection:
--- a/pipitshed/proxy/attempt_runner.py
+++ b/pipitshed/proxy/attempt_runner.py
@@ -10,11 +10,18 @@
 from pipitshed.proxy.attempt import Attempt
 from pipitshed.proxy.dispatch_loop import DispatchLoop
 from pipitshed.proxy.endpoint_table import EndpointTable
+from pipitshed.proxy.executed_requests import ExecutedRequests
 from pipitshed.proxy.published_names import member_name
 from pipitshed.proxy.request import RequestContext
 from pipitshed.proxy.request_lifecycle import RequestLifecycle
 from pipitshed.scheduling.actions import StartAttempt
-from pipitshed.scheduling.events import AttemptFinished, AttemptProgressed, Outcome, ProgressKind
+from pipitshed.scheduling.events import (
+    NOT_EXECUTED_OUTCOMES,
+    AttemptFinished,
+    AttemptProgressed,
+    Outcome,
+    ProgressKind,
+)
 
 
 class AttemptRunner:
@@ -28,7 +35,9 @@
         counters: Counter[str],
         max_attempts: int,
         loop: asyncio.AbstractEventLoop,
+        executed: ExecutedRequests,
     ) -> None:
+        self._executed = executed
         self.max_attempts = max_attempts
         self.sent_counts: Counter[int] = Counter()  # attempts whose last byte was written, by class
         self._dispatch_loop = dispatch_loop
@@ -160,6 +169,8 @@
             attempt.timeout_timer.cancel()
         self._counters[f"attempt {member_name(outcome)}"] += 1
         context, endpoint = attempt.context, attempt.endpoint
+        if outcome in NOT_EXECUTED_OUTCOMES and not context.may_have_run:
+            self._executed.never_ran(context.request)
         if outcome is Outcome.ERROR:
             context.last_error = result
         if outcome is Outcome.OK and not context.answered:
--- a/pipitshed/proxy/forwarder.py
+++ b/pipitshed/proxy/forwarder.py
@@ -4,14 +4,18 @@
 
 import asyncio
 import logging
+import math
 from collections import Counter
 from collections.abc import Callable, Sequence
+from time import monotonic
 
+from pipitshed.flow_control import MemoryBudget
 from pipitshed.proxy.attempt import Attempt
 from pipitshed.proxy.attempt_runner import AttemptRunner
 from pipitshed.proxy.decision_log import DecisionLog
 from pipitshed.proxy.dispatch_loop import DispatchLoop
 from pipitshed.proxy.endpoint_table import EndpointTable
+from pipitshed.proxy.executed_requests import ExecutedRequests
 from pipitshed.proxy.request import Request, RequestContext, Requester, Translator
 from pipitshed.proxy.request_lifecycle import RequestLifecycle
 from pipitshed.proxy.worker_client import Endpoint
@@ -51,7 +55,9 @@
         seed: int,
         loop: asyncio.AbstractEventLoop,
         decision_log: DecisionLog | None = None,
+        executed: ExecutedRequests | None = None,
     ) -> None:
+        self.executed = executed or ExecutedRequests(MemoryBudget(math.inf, monotonic))
         self.settings = settings
         self.counters: Counter[str] = Counter()
         self._dispatcher = Dispatcher(settings, seed)
@@ -72,6 +78,7 @@
             self.counters,
             settings.limits.max_attempts,
             loop,
+            self.executed,
         )
         self._fetch_endpoints: Callable[[bool], None] | None = None
 
@@ -192,6 +199,7 @@
     def attempt_sent(self, attempt: Attempt) -> None:
         """Record that the attempt's last byte is written: from now on the job may have run."""
         self._attempts.sent(attempt)
+        self.executed.attempt_sent(attempt, self.settings.classes[attempt.context.request.job_class])
 
     def attempt_timed_out(self, attempt: Attempt) -> None:
         """Stop the attempt at its deadline, unless it has ended."""
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import TYPE_CHECKING, Any, Protocol
 
 from pipitshed.admin.frontend import AdminFrontend
@@ -27,6 +30,7 @@
 from pipitshed.frontends.http import HttpFrontend, RequestParser
 from pipitshed.frontends.listener import Listener
 from pipitshed.proxy.decision_log import DecisionLog
+from pipitshed.proxy.executed_requests import ExecutedRequests
 from pipitshed.proxy.forwarder import Forwarder
 from pipitshed.scheduling.settings import Settings
 from pipitshed.server.descriptors import DescriptorBudget
@@ -38,6 +42,7 @@
     from pipitshed.discovery.dns_sd import DnsSdClient
     from pipitshed.discovery.placement_plan import PlacementPlanSource
     from pipitshed.frontends.gearman import GearmanFrontend, GearmanFunction
+    from pipitshed.proxy.executed_id_files import ExecutedIdFiles
     from pipitshed.server.translation import TranslationParts
 
 INSTANCE_ID_MASK = 0xFFFFFFFF  # the bits of the seed that identify this process to Gearman clients
@@ -121,7 +126,8 @@
     names = Names(NameIndex(config.zones), NameIndex(config.kinds), class_names, tenants)
     descriptors = DescriptorBudget(config.descriptor_limit)
     flow_control = FlowControl(loop, config.memory_mb)
-    forwarder = Forwarder(config.settings, config.seed, loop, open_decision_log(config))
+    executed = ExecutedRequests(flow_control.memory, open_executed_id_files(config))
+    forwarder = Forwarder(config.settings, config.seed, loop, open_decision_log(config), executed)
     http_workers = HttpWorkerClient(
         forwarder, config.report_fields, loop, descriptors.left_for_workers, flow_control
     )
@@ -142,6 +148,7 @@
         loop,
         server.ready,
         flow_control,
+        executed,
     )
     parts = Parts(
         names,
@@ -170,6 +177,16 @@
     return decision_log
 
 
+def open_executed_id_files(config: Config) -> ExecutedIdFiles | None:
+    """Share the ids of executed requests where another process may listen on the same socket."""
+    if config.inherited_descriptor is None:
+        return None
+    from pipitshed.proxy.executed_id_files import ExecutedIdFiles
+
+    name = re.sub(r"[^A-Za-z0-9.]", "_", f"{config.name}-{config.listen[0]}-{config.listen[1]}")
+    return ExecutedIdFiles(Path(os.environ.get("TMPDIR", "/tmp")), name)
+
+
 def build_translation(
     front: FrontConfig,
     forwarder: Forwarder,
--- a/tests/server/test_upgrade.py
+++ b/tests/server/test_upgrade.py
@@ -4,8 +4,19 @@
 import asyncio
 import signal
 import socket
-
-from loopback import SETTINGS, Catalog, HttpClient, Planner, admin_request, async_test, program
+import tempfile
+
+from loopback import (
+    NON_IDEMPOTENT_BOOK,
+    SETTINGS,
+    Catalog,
+    HttpClient,
+    Planner,
+    Run,
+    admin_request,
+    async_test,
+    program,
+)
 
 READY = b"GET /-/ready HTTP/1.1\r\nHost: mgmt\r\n\r\n"
 
@@ -120,3 +131,39 @@
         assert (await client.answer())[0] == 200
         running.process.send_signal(signal.SIGTERM)
         assert await asyncio.wait_for(running.process.wait(), 0.6 + 0.7) == 0
+
+
+@async_test
+async def test_a_non_idempotent_job_does_not_run_again_at_the_other_process_of_an_upgrade() -> None:
+    """Its client left the old process after the job had started, and sends the id again to the new one."""
+    listening_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listening_socket.bind(("127.0.0.1", 0))
+    listening_socket.listen(64)
+    port, descriptor = listening_socket.getsockname()[1], listening_socket.fileno()
+    with tempfile.TemporaryDirectory() as folder:
+        environment = {"LB_PASSED_SOCKET": str(descriptor), "TMPDIR": folder}
+        options = {"env": environment, "pass_fds": (descriptor,), "mgmt": True}
+
+        def start_only(run: Run) -> None:
+            run.send_event("started")
+
+        async with (
+            Planner("p1", act=start_only) as planner,
+            program(planner, settings=NON_IDEMPOTENT_BOOK, **options) as old,  # type: ignore[arg-type]
+        ):
+            client = await HttpClient.to(port)
+            client.ask("b1", "book", X_Deadline="9.0")
+            run = await planner.wait_for(1)
+            client.writer.close()
+            await run.dropped()
+            async with program(planner, settings=NON_IDEMPOTENT_BOOK, **options) as new:  # type: ignore[arg-type]
+                await _ready(new.mgmt_port)
+                old.process.send_signal(signal.SIGTERM)
+                await old.process.wait()
+                old.log.append((await old.process.stdout.read()).decode())  # type: ignore[union-attr]
+                again = await HttpClient.to(port)
+                again.ask("b1", "book", X_Deadline="9.0")
+                assert (await again.answer())[0] == 409
+                assert len(planner.runs) == 1
+                again.writer.close()
+    listening_socket.close()
