Jobs of a client whose disconnect is behind unread input are not started

Change: the first of several requests on an HTTP connection starts once nothing has come for 5 ms and the peer's end has not arrived (POLLRDHUP sees it behind unread input too); a Gearman client's job starts once all that the client has sent is read, or 50 ms later if its end has not arrived. Buffers and charges cost less per request: the usual read is handled without a look at the clock.

--- a/pipitshed/flow_control/input_scheduler.py
+++ b/pipitshed/flow_control/input_scheduler.py
@@ -39,12 +39,6 @@
     def received(self, connection: PacedConnection, count: int) -> None:
         """Handle what a connection has read into the buffer; the rest waits once its share is used."""
         data = self.buffer[:count]
-        if count < READ_BYTES:
-            # The usual case: a message or two, all that there is.
-            handled = connection.next_slice_bytes()
-            if handled >= count:
-                connection.data_received(bytes(data))
-                return
         started_at = monotonic()
         if not self._is_turn_scheduled:
             self._reads_until = started_at + TURN_S
--- a/pipitshed/flow_control/memory_budget.py
+++ b/pipitshed/flow_control/memory_budget.py
@@ -53,7 +53,8 @@
     def charge(self, byte_count: int = 0) -> MemoryCharge:
         """Create a charge for memory that is in use already, whatever is available."""
         charge = MemoryCharge(self)
-        charge.add(byte_count)
+        if byte_count:
+            charge.add(byte_count)
         return charge
 
     def admits(self, byte_count: int, priority: Priority) -> bool:
@@ -79,18 +80,21 @@
                     break
                 self._waiting.popleft()()
 
-    def set_reclaimable(self, charge: MemoryCharge, is_reclaimable: bool) -> None:
-        """Put a charge behind the others that may be discarded, or take it out."""
+    def add_reclaimable(self, charge: MemoryCharge) -> None:
+        """Put a charge behind the others that may be discarded."""
+        self._reclaimable.pop(charge, None)
+        self._reclaimable[charge] = None
+
+    def remove_reclaimable(self, charge: MemoryCharge) -> None:
+        """Keep a charge."""
         self._reclaimable.pop(charge, None)
-        if is_reclaimable:
-            self._reclaimable[charge] = None
 
     def _discard_stalled(self) -> bool:
         """Discard the message that has not grown for longest; False if none is stalled."""
         stalled = next(iter(self._reclaimable), None)
         if stalled is None or self._clock() - stalled.grown_at < STALLED_AFTER_S:
             return False
-        del self._reclaimable[stalled]
+        stalled.complete()
         self.counters["memory reclaimed"] += 1
         if stalled.on_reclaim is not None:
             stalled.on_reclaim()
@@ -109,12 +113,13 @@
         on_reclaim: Called when an incomplete message is discarded to make room; its owner answers the sender.
     """
 
-    __slots__ = ("_budget", "byte_count", "grown_at", "on_reclaim")
+    __slots__ = ("_budget", "_is_reclaimable", "byte_count", "grown_at", "on_reclaim")
 
     def __init__(self, budget: MemoryBudget, on_reclaim: Callable[[], None] | None = None) -> None:
         self._budget = budget
         self.byte_count = 0
         self.grown_at = -math.inf
+        self._is_reclaimable = False
         self.on_reclaim = on_reclaim
 
     def try_add(self, byte_count: int, priority: Priority) -> bool:
@@ -141,17 +146,22 @@
     def allow_reclaim(self) -> None:
         """Let the message be discarded for others once it has not grown for STALLED_AFTER_S."""
         self.grown_at = self._budget.now()
-        self._budget.set_reclaimable(self, True)
+        self._is_reclaimable = True
+        self._budget.add_reclaimable(self)
 
     def complete(self) -> None:
-        """Keep the message: it is complete."""
-        self._budget.set_reclaimable(self, False)
+        """Keep the message: it is complete, or may not be discarded."""
+        if self._is_reclaimable:
+            self._is_reclaimable = False
+            self._budget.remove_reclaimable(self)
 
     def release(self) -> None:
         """Give all of it back; further calls have no effect."""
-        self._budget.set_reclaimable(self, False)
-        if self.byte_count:
-            self.set(0)
+        if self._is_reclaimable:
+            self.complete()
+        byte_count, self.byte_count = self.byte_count, 0
+        if byte_count:
+            self._budget.changed(-byte_count)
 
 
 NO_CHARGE = MemoryBudget(math.inf, lambda: 0.0).charge()  # of requests that take no memory of a peer's
--- a/pipitshed/flow_control/paced_connection.py
+++ b/pipitshed/flow_control/paced_connection.py
@@ -4,17 +4,18 @@
 
 import asyncio
 import enum
+import select
 from time import monotonic
 from typing import cast
 
 from pipitshed.flow_control.flow_control import FlowControl
 from pipitshed.flow_control.memory_budget import MemoryCharge, Priority
 
-DEFAULT_SLICE_BYTES = 512  # of input, handled in one step; holds a few dozen of the shortest messages
+DEFAULT_SLICE_BYTES = 1024  # of input, handled in one step; holds some dozens of the shortest messages
 SHORT_MESSAGE_BYTES = 4 * 1024  # a longer one may fill a part of the memory budget alone
 
 
-class HoldReason(enum.Flag):
+class HoldReason(enum.Enum):
     """Why a connection's input is held."""
 
     UNREAD_OUTPUT = enum.auto()
@@ -35,10 +36,12 @@
 
     def __init__(self, flow_control: FlowControl) -> None:
         self.flow_control = flow_control
+        self._read_buffer = flow_control.input.buffer
         self._transport: asyncio.Transport | None = None
         self._deferred = b""  # received, not handled yet
         self._is_deferred = False  # waits for its turn
-        self._held_for = HoldReason(0)
+        self._held_for: set[HoldReason] = set()
+        self._is_held = False
         self._ends_turn = False  # handles no further slice in this turn
         self._is_drained = True  # the last read emptied the socket
         self._read_count = 0
@@ -65,21 +68,28 @@
         """Whether all that the peer has sent so far is handled, so that its disconnect would be known."""
         return self._is_drained and not self._is_deferred and not self._is_held
 
-    @property
-    def _is_held(self) -> bool:
-        return bool(self._held_for)
+    def has_peer_closed(self) -> bool:
+        """Whether the peer's end of the stream has arrived, also behind input that is not read yet."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
 
     def hold_input(self, reason: HoldReason) -> None:
         """Handle and read no more input until `release_input` is called for the same reason."""
         if not self._is_held:
             self._pause()
-        self._held_for |= reason
+        self._held_for.add(reason)
+        self._is_held = True
 
     def release_input(self, reason: HoldReason) -> None:
         """Handle and read input again, unless it is held for another reason too."""
         if reason not in self._held_for:
             return
-        self._held_for &= ~reason
+        self._held_for.remove(reason)
+        self._is_held = bool(self._held_for)
         if self._is_held:
             return
         if self._is_deferred:
@@ -112,14 +122,16 @@
 
     def get_buffer(self, _size_hint: int) -> memoryview:
         """The buffer that all connections read to."""
-        return self.flow_control.input.buffer
+        return self._read_buffer
 
     def buffer_updated(self, count: int) -> None:
         """Handle what was read, within the connection's share."""
-        scheduler = self.flow_control.input
+        if self._is_drained and count <= self.slice_bytes:
+            self.data_received(self._read_buffer[:count].tobytes())  # the usual case
+            return
         self._read_count += 1
-        was_drained, self._is_drained = self._is_drained, count < len(scheduler.buffer)
-        scheduler.received(self, count)
+        was_drained, self._is_drained = self._is_drained, count < len(self._read_buffer)
+        self.flow_control.input.received(self, count)
         if not self._is_drained:
             self.flow_control.loop.call_soon(self._check_drained_later, self._read_count)
         elif not was_drained and not self._is_deferred:
--- a/pipitshed/frontends/gearman/connection.py
+++ b/pipitshed/frontends/gearman/connection.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from pipitshed.flow_control import SHORT_MESSAGE_BYTES, HoldReason, PacedConnection, Priority
+from pipitshed.flow_control import (
+    SHORT_MESSAGE_BYTES,
+    HoldReason,
+    MemoryCharge,
+    PacedConnection,
+    Priority,
+)
 from pipitshed.frontends.gearman.job import GearmanJob
 from pipitshed.protocols.buffer import Buffer, TooLongError
 from pipitshed.protocols.gearman import (
@@ -23,8 +30,9 @@
 from pipitshed.upstream.gearman import WORKER_KINDS, GearmanWorker
 
 if TYPE_CHECKING:
-    from pipitshed.frontends.gearman.frontend import GearmanFrontend
+    from pipitshed.frontends.gearman.frontend import GearmanFrontend, SubmissionParameters
 
+START_WAIT_S = 0.05  # for which a job waits until all that its client has sent is read
 LINGER_S = 0.5  # time after the last packet during which input is discarded
 MAX_UNSENT_BYTES = 16 * 1024  # of output; beyond it no further input of the peer is handled
 MAX_UNREAD_BYTES = 1024 * 1024  # output that a peer may leave unread before its connection is closed
@@ -44,6 +52,22 @@
     is_background: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _UnstartedJob:
+    """A submitted job and the arguments of its start."""
+
+    job: GearmanJob
+    parameters: SubmissionParameters
+    name: bytes
+    body: bytes
+    priority: int
+    memory_charge: MemoryCharge
+
+    def start(self, frontend: GearmanFrontend) -> None:
+        """Submit the job, unless it was withdrawn."""
+        frontend.submit(self.job, self.parameters, self.name, self.body, self.priority, self.memory_charge)
+
+
 _SUBMISSIONS = {
     PacketType.SUBMIT_JOB: _Submission(0, is_background=False),
     PacketType.SUBMIT_JOB_BG: _Submission(0, is_background=True),
@@ -75,6 +99,8 @@
         self._write_timer: asyncio.TimerHandle | None = None
         self._jobs: dict[GearmanJob, None] = {}  # jobs whose results the client waits for
         self._is_closing = False
+        self._unstarted: deque[_UnstartedJob] = deque()  # the client's disconnect may be behind unread input
+        self._start_timer: asyncio.TimerHandle | None = None
 
     # ---- asyncio.Protocol
 
@@ -94,7 +120,10 @@
             charge.release()
         if self._write_timer is not None:
             self._write_timer.cancel()
+        if self._start_timer is not None:
+            self._start_timer.cancel()
         self._withdraw_jobs()
+        self._start_all()
         if self.worker is not None:
             self.worker.lost()
 
@@ -220,11 +249,39 @@
                 self._jobs[job] = None
             self.write(encode_packet(PacketType.JOB_CREATED, job.handle))
             frontend.jobs[job.handle] = job
-            # Deferred: if the client has already disconnected, its EOF is read before the next iteration, and
-            # the job is not started.
-            frontend.loop.call_soon(frontend.submit, job, parameters, name, body, submission.priority, charge)
+            unstarted = _UnstartedJob(job, parameters, name, body, submission.priority, charge)
+            self._start_soon(unstarted)
             self.end_turn()
 
+    def _start_soon(self, unstarted: _UnstartedJob) -> None:
+        """Start a job in the next iteration, a client's job once all that the client has sent is read.
+
+        If the client has already disconnected, its EOF is read before, and the job is not started.
+        """
+        if unstarted.job.connection is None:
+            self._frontend.loop.call_soon(unstarted.start, self._frontend)
+            return
+        self._unstarted.append(unstarted)
+        self._frontend.loop.call_soon(self.input_drained)
+
+    def input_drained(self) -> None:
+        """Start the client's jobs, unless more of its input is to be read."""
+        if self.is_input_drained:
+            self._start_all()
+        elif self._unstarted and self._start_timer is None:
+            self._start_timer = self._frontend.loop.call_later(START_WAIT_S, self._end_start_wait)
+
+    def _end_start_wait(self) -> None:
+        """Start the jobs of a client that goes on sending, unless its disconnect is behind what is unread."""
+        self._start_timer = None
+        if self.has_peer_closed():
+            self._withdraw_jobs()
+        self._start_all()
+
+    def _start_all(self) -> None:
+        while self._unstarted:
+            self._unstarted.popleft().start(self._frontend)
+
     def _write_error(self, code: bytes, text: bytes) -> None:
         self.write(encode_packet(PacketType.ERROR, code, text))
 
--- a/pipitshed/frontends/http/connection.py
+++ b/pipitshed/frontends/http/connection.py
@@ -28,6 +28,7 @@
 MAX_PIPELINED_REQUESTS = 8  # queued after the one in progress; further ones are answered 503
 MAX_QUEUED_RESPONSES = 256  # including those 503; a client that sends more is disconnected
 FIRST_REQUEST_TIMEOUT_S = 2.5  # from connecting; a connection that sends only garbage must end within 3 s
+PIPELINE_QUIET_S = 0.005  # time without input after which the first of several requests starts
 NEXT_REQUEST_TIMEOUT_S = 10.0  # from the first to the last byte of a later request
 MAX_MESSAGE_BYTES = (
     HEAD_LIMIT_BYTES + 4 * BODY_LIMIT_BYTES
@@ -323,7 +324,8 @@
         if not self._parser.should_keep_alive():
             self._is_last = True
         verb: bytes = self._parser.get_method()
-        if verb == b"POST" and self._may_queue_request() and self._queue_request(verb):
+        may_queue = not self._is_shed and len(self._queue) < MAX_PIPELINED_REQUESTS
+        if verb == b"POST" and may_queue and self._queue_request(verb):
             # Deferred: if the client has already disconnected, its EOF is read before the next iteration, and
             # the request is not started.
             self._frontend.loop.call_soon(self._process_queue)
@@ -332,9 +334,6 @@
         self._discard_message()
         self._process_queue()
 
-    def _may_queue_request(self) -> bool:
-        return not self._is_shed and len(self._queue) < MAX_PIPELINED_REQUESTS
-
     def _queue_status(self, verb: bytes) -> None:
         """Queue the answer to a message that is no job, or that is shed."""
         if verb == b"GET":
@@ -396,8 +395,7 @@
             and not self._is_write_paused
             and (self._transport is not None and not self._transport.is_closing())
         ):
-            if not isinstance(self._queue[0], int) and not self.is_input_drained:
-                # The client's disconnect may be behind input that is not read yet.
+            if not isinstance(self._queue[0], int) and not self._may_start_request():
                 return
             first = self._queue.popleft()
             if isinstance(first, int):
@@ -412,6 +410,21 @@
                 self._frontend.open_ids.add(first.id)
                 self._request_context = self._frontend.forwarder.submit(first, self)
 
+    def _may_start_request(self) -> bool:
+        """Whether the client's disconnect would be known by now.
+
+        It may be behind input that is not read yet, or that is still on its way behind pipelined requests.
+        """
+        if not self.is_input_drained:
+            return False
+        if len(self._queue) == 1 and not self._is_receiving:
+            return True
+        quiet_s = self._frontend.loop.time() - self.last_received_at
+        if quiet_s < PIPELINE_QUIET_S:
+            self._frontend.loop.call_later(PIPELINE_QUIET_S, self._process_queue)
+            return False
+        return not self.has_peer_closed()
+
     def _write(self, status: int, body: bytes = b"", extra_headers: str = "") -> None:
         if self._request_context is not None:
             self._request_context = None
--- a/pipitshed/protocols/buffer.py
+++ b/pipitshed/protocols/buffer.py
@@ -45,7 +45,7 @@
 
     def take_all(self) -> bytes:
         """Consume and return all bytes."""
-        return self.take(len(self))
+        return self.take(len(self._data)) if self._data else b""
 
     def take_line(self) -> bytes | None:
         """Consume the first complete line, and return it without its line end; None if there is none."""
--- a/pipitshed/proxy/executed_requests.py
+++ b/pipitshed/proxy/executed_requests.py
@@ -36,6 +36,8 @@
         self._expiry_by_id: dict[str, float] = {}  # monotonic time in s, in the order of the first attempts
 
     def __contains__(self, request_id: object) -> bool:
+        if self._files is None and not self._expiry_by_id:
+            return False
         self._forget_expired()
         if request_id in self._expiry_by_id:
             return True
--- a/pipitshed/upstream/http/connection.py
+++ b/pipitshed/upstream/http/connection.py
@@ -178,7 +178,9 @@
                 self._client.on_wrong_interface(self.attempt.endpoint)
             self._give_up()
             return
-        self.charge_partial(self._line_charge, len(self._reader.buffer))
+        incomplete_bytes = len(self._reader.buffer)
+        if incomplete_bytes or self._line_charge.byte_count:
+            self.charge_partial(self._line_charge, incomplete_bytes)
         if self.attempt is None and self.probed_endpoint is None:
             # A second answer has begun after the first: its rest must not be parsed as the next one.
             if self._reader.is_receiving:
--- a/tests/frontends/test_rare_moments.py
+++ b/tests/frontends/test_rare_moments.py
@@ -10,6 +10,7 @@
 from typing import Any
 from unittest.mock import Mock
 
+import pytest
 from loopback import (
     FRONT,
     Catalog,
@@ -22,11 +23,12 @@
     async_test,
     program,
 )
+from pressure import request_head
 
 from pipitshed.frontends.http import HttpFrontend
 from pipitshed.frontends.http.connection import MAX_PIPELINED_REQUESTS, MAX_QUEUED_RESPONSES
 from pipitshed.frontends.listener import Listener
-from pipitshed.protocols.gearman import PacketType
+from pipitshed.protocols.gearman import REQUEST_MAGIC, PacketType, encode_packet
 
 
 async def client_with_small_buffer(port: int) -> HttpClient:
@@ -363,3 +365,38 @@
             assert (await client.answer())[0] == 200
         for client in silent:
             assert await client.reader.read() == b""
+
+
+LARGE_BODY_BYTES = 60_000
+
+
+@pytest.mark.parametrize("is_gearman", [False, True], ids=["http", "gearman"])
+def test_jobs_whose_client_disconnected_behind_unread_input_are_not_sent(is_gearman: bool) -> None:
+    """Guards against jobs sent after their client had closed its connection with much still unread."""
+
+    @async_test
+    async def run() -> None:
+        async with Planner("p1") as planner, program(planner, front=FRONT) as running:
+            port = running.gearman_port if is_gearman else running.port
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            other = await HttpClient.to(running.port)
+            running.process.send_signal(signal.SIGSTOP)
+            body = b"p" * LARGE_BODY_BYTES
+            for number in range(9):
+                if is_gearman:
+                    arguments = (b"plan_quote", b"u%d" % number, body)
+                    writer.write(encode_packet(PacketType.SUBMIT_JOB, *arguments, magic=REQUEST_MAGIC))
+                else:
+                    writer.write(request_head(f"a{number}", len(body)) + body)
+            await writer.drain()
+            writer.close()
+            await writer.wait_closed()
+            running.process.send_signal(signal.SIGCONT)
+            other.ask("other")
+            assert (await other.answer())[0] == 200
+            for number in range(20):
+                other.ask(f"later-{number}")
+                assert (await other.answer())[0] == 200
+            assert len(planner.runs) == 21
+
+    run()
