The soak draws peers that hold half messages and peers that send at full speed

Change: zero to three pressures a run (half bodies, many fields, pipelines; floods of health checks, wrong methods, echoes and unknown functions), drawn apart so that seeds keep what they drew before. Flood moves from the tests to the testbed, which both use.

--- a/benchmarks/soak/drawing.py
+++ b/benchmarks/soak/drawing.py
@@ -4,12 +4,15 @@
 
 import random
 from dataclasses import dataclass
-from typing import Any, Literal
+from typing import Any, Literal, get_args
 
 from pipitshed.testbed.clients import KINDS
 
 LONGEST_DEADLINE_S = 3.0  # SIGKILL follows SIGTERM later than this, so no request in progress is cut short
 RepeatKind = Literal["retryable", "dedup", "fragile"]
+PressureKind = Literal[
+    "half_bodies", "many_fields", "pipelines", "health_checks", "wrong_methods", "echoes", "background_jobs"
+]
 FaultKind = Literal["roll", "goaway", "crash", "cut", "slow", "hang", "discovery"]
 
 
@@ -60,6 +63,17 @@
     reorder_tenants: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Pressure:
+    """Peers that hold unfinished or unread messages, or send at full speed, for some time."""
+
+    at_s: float
+    kind: PressureKind
+    connection_count: int
+    duration_s: float
+    reads: bool  # whether they read what they are sent
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """All parameters of one soak run."""
@@ -83,6 +97,7 @@
     second_sigterm_delay_s: float | None
     # Seconds after SIGTERM; no request is sent until the earliest of them, so that open connections are idle.
     idle_until_s: tuple[float, ...]
+    pressures: tuple[Pressure, ...] = ()
 
 
 def draw_scenario(seed: int, traffic_s: float) -> Scenario:
@@ -125,6 +140,22 @@
         ),
         rng.choice((None, 0.0, 0.05, 1.0, 2.1)),
         tuple(rng.uniform(1.8, 2.6) for _ in range(12)),
+        _draw_pressures(seed, traffic_s),
+    )
+
+
+def _draw_pressures(seed: int, traffic_s: float) -> tuple[Pressure, ...]:
+    """Drawn apart from the rest, so that a seed keeps what it drew before there were pressures."""
+    rng = random.Random(f"pressure:{seed}")
+    return tuple(
+        Pressure(
+            rng.uniform(0.3, traffic_s),
+            rng.choice(get_args(PressureKind)),
+            rng.choice((1, 4, 30)),
+            rng.uniform(0.5, 3.0),
+            rng.random() < 0.7,
+        )
+        for _ in range(rng.randint(0, 3))
     )
 
 
--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -11,7 +11,8 @@
 from time import monotonic
 from typing import Any
 
-from benchmarks.soak.drawing import LONGEST_DEADLINE_S, Fault, Pause, Reload, Scenario
+from benchmarks.soak import pressure
+from benchmarks.soak.drawing import LONGEST_DEADLINE_S, Fault, Pause, Pressure, Reload, Scenario
 from benchmarks.soak.rules import Records, Violation, find_violations
 from pipitshed.server.descriptors import DescriptorBudget
 from pipitshed.testbed.clients import ClientRequest, GearmanClients, HttpClients, draw_request
@@ -76,6 +77,7 @@
             *((event.at_s, lambda event=event: self._inject_fault(event)) for event in self.scenario.faults),
             *((event.at_s, lambda event=event: self._pause(event)) for event in self.scenario.pauses),
             *((event.at_s, lambda event=event: self._reload(event)) for event in self.scenario.reloads),
+            *((event.at_s, lambda event=event: self._press(event)) for event in self.scenario.pressures),
         ]
         holdup_task = asyncio.create_task(self._measure_holdups())
         idle_clients = [
@@ -196,6 +198,9 @@
             self.running.config.write_text(json.dumps(config))
         self._signal(signal.SIGHUP)
 
+    async def _press(self, event: Pressure) -> None:
+        await pressure.apply(event, self.running.http, self.running.gearman)
+
     async def _shut_down(self) -> bool:
         """Send SIGTERM, and SIGKILL after the longest deadline; return whether SIGKILL was needed."""
         await asyncio.sleep(self.scenario.traffic_s)
@@ -264,5 +269,10 @@
     for request in runner.requests:
         outcomes[request.outcome] = outcomes.get(request.outcome, 0) + 1
     broken = find_violations(records, scenario.classes)
-    figures = {"peak_mb": round(peak_mb, 1), "stops": len(runner.pauses), "reloads": len(scenario.reloads)}
+    figures = {
+        "peak_mb": round(peak_mb, 1),
+        "stops": len(runner.pauses),
+        "reloads": len(scenario.reloads),
+        "pressures": [event.kind for event in scenario.pressures],
+    }
     return Result(scenario.seed, len(runner.requests), outcomes, runner.worst_holdup_s, broken, figures)
--- a/tests/pressure.py
+++ b/tests/pressure.py
@@ -14,13 +14,14 @@
 
 from loopback import HttpClient, Program
 
+from pipitshed.testbed.flood import Flood
+
 BODY_BYTES = 64 * 1024  # the most that the protocol allows
 MIB = 1024 * 1024
 # The least and the largest limits that the pages name, and those between: memory in MB, descriptors.
 LIMITS = ((32, 256), (80, 512), (192, 1024))
 CALLER_PATIENCE_S = 1.0  # however busy the scheduler is, an operator's caller waits this long
 _SAMPLE_INTERVAL_S = 0.002
-_CHUNK_BYTES = 256 * 1024
 
 
 def own_pages_mb(pid: int) -> float:
@@ -57,58 +58,6 @@
         thread.join()
 
 
-class Flood:
-    """A peer in threads of its own that sends the same bytes at full speed on one connection.
-
-    Args:
-        sock: The connection.
-        data: What is sent again and again.
-        reads: Whether the peer reads what it is sent.
-    """
-
-    def __init__(self, sock: socket.socket, data: bytes, reads: bool = True) -> None:
-        self.sent_bytes = 0
-        self._socket = sock
-        self._data = data * max(1, _CHUNK_BYTES // len(data))
-        self._ended = threading.Event()
-        sock.settimeout(0.1)
-        self._threads = [threading.Thread(target=self._send)]
-        if reads:
-            self._threads.append(threading.Thread(target=self._read))
-        for thread in self._threads:
-            thread.start()
-
-    def _send(self) -> None:
-        view, offset = memoryview(self._data), 0
-        while not self._ended.is_set():
-            try:
-                count = self._socket.send(view[offset:])
-            except TimeoutError:
-                continue
-            except OSError:
-                return
-            self.sent_bytes += count
-            offset = (offset + count) % len(view)
-
-    def _read(self) -> None:
-        buffer = bytearray(_CHUNK_BYTES)
-        while not self._ended.is_set():
-            try:
-                if not self._socket.recv_into(buffer):
-                    return
-            except TimeoutError:
-                continue
-            except OSError:
-                return
-
-    def close(self) -> None:
-        """Stop sending, and close the connection."""
-        self._ended.set()
-        for thread in self._threads:
-            thread.join()
-        self._socket.close()
-
-
 @contextlib.asynccontextmanager
 async def flooding(port: int, data: bytes, count: int = 1, reads: bool = True) -> AsyncIterator[list[Flood]]:
     """Send this data at full speed on some connections while the block runs."""
