Workers and names that discovery lists are bounded, and the log says who is held back

Cause: each new worker, zone or kind of machine of an update was kept, for ever or for 60 s after its removal: 60,000 workers in 300 updates took 143 MB of 32 on.

Change: workers are charged to the memory budget, two fifths of it at most, and further ones are not listed; 4,096 names of zones or kinds get numbers, those beyond share one (a zone beyond is unknown). The log reports, once in 5 s at most, refused memory with its priority and the bytes in use, and whose input waits for its turn; ended: counts refused charges, discarded messages and deferred input.

--- a/pipitshed/discovery/catalog/endpoint_parser.py
+++ b/pipitshed/discovery/catalog/endpoint_parser.py
@@ -12,16 +12,29 @@
 
 _STATES = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING, "gone": EndpointState.REMOVED}
 _DEFAULT_INTERFACE = 1
+MAX_NAMES = 4096  # of zones, or of kinds of machine
+MAX_NAME_CHARS = 256
+OVERFLOW_INDEX = 1_000_000  # shared by the names beyond the bound
 
 
 class NameIndex:
-    """Assigns numbers to names: first to those of the settings, then to others as they appear."""
+    """Assigns numbers to names: first to those of the settings, then to others as they appear.
 
-    def __init__(self, names: list[str]) -> None:
+    A number is never given to another name, so the count of names is bounded: discovery may list workers
+    under ever new ones.
+    """
+
+    def __init__(self, names: list[str], overflow: int = OVERFLOW_INDEX) -> None:
         self._indexes = {name: index for index, name in enumerate(names)}
+        self._overflow = overflow
 
     def index(self, name: str) -> int:
-        """Return the number of a name; a new name gets the next number."""
+        """Return the number of a name; a new name gets the next number, or the overflow beyond the bound."""
+        known = self._indexes.get(name)
+        if known is not None:
+            return known
+        if len(self._indexes) >= MAX_NAMES or len(name) > MAX_NAME_CHARS:
+            return self._overflow
         return self._indexes.setdefault(name, len(self._indexes))
 
 
--- a/pipitshed/flow_control/flow_control.py
+++ b/pipitshed/flow_control/flow_control.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from collections import Counter
 
 from pipitshed.flow_control.input_scheduler import InputScheduler
 from pipitshed.flow_control.memory_budget import MemoryBudget
@@ -16,3 +17,7 @@
         self.loop = loop
         self.input = InputScheduler(loop)
         self.memory = MemoryBudget(memory_mb, loop.time)
+
+    def counters(self) -> Counter[str]:
+        """What was refused, discarded and deferred so far, by name."""
+        return self.memory.counters + Counter({"input deferred": self.input.deferred_count})
--- a/pipitshed/flow_control/input_scheduler.py
+++ b/pipitshed/flow_control/input_scheduler.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+import math
 from collections import deque
 from time import monotonic
 from typing import TYPE_CHECKING
@@ -15,11 +17,15 @@
 if TYPE_CHECKING:
     from pipitshed.flow_control.paced_connection import PacedConnection
 
+LOG_INTERVAL_S = 5.0  # between two reports of connections that use up their share
 READ_BYTES = 16 * 1024  # of one read; what a connection keeps unhandled at most
 SHARE_S = 0.002  # for which one connection is handled without a break
 TURN_S = 0.006  # for which connections beyond their share are handled in one iteration of the loop
 
 
+log = logging.getLogger("pipitshed")
+
+
 class InputScheduler:
     """The connections whose input waits, in the order of their turns.
 
@@ -34,6 +40,7 @@
         self._waiting: deque[PacedConnection] = deque()
         self._is_turn_scheduled = False
         self._used_s: dict[PacedConnection, float] = {}  # of whole reads in this iteration
+        self._logged_at = -math.inf
         self._reads_until = 0.0  # monotonic time; later reads of this iteration are handled in part
 
     def received(self, connection: PacedConnection, count: int) -> None:
@@ -57,6 +64,12 @@
     def _defer(self, connection: PacedConnection, rest: bytes) -> None:
         self.deferred_count += 1
         connection.defer(rest)
+        now = monotonic()
+        if now - self._logged_at >= LOG_INTERVAL_S:
+            self._logged_at = now
+            log.info(
+                "input of %s waits for its turn; so far %d times", connection.peer(), self.deferred_count
+            )
         self.resume(connection)
 
     def resume(self, connection: PacedConnection) -> None:
--- a/pipitshed/flow_control/memory_budget.py
+++ b/pipitshed/flow_control/memory_budget.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import logging
 import math
 from collections import Counter, deque
 from collections.abc import Callable
@@ -14,9 +15,13 @@
 BYTES_PER_MB = 1024 * 1024
 BASE_MEMORY_MB = 20.0  # of the process itself, without peers
 BUDGET_FRACTION = 0.6  # of the rest; copies, fragmentation and garbage take what is left
+LOG_INTERVAL_S = 5.0  # between two reports that memory is short
 STALLED_AFTER_S = 1.0  # time without growth after which an incomplete message may be discarded for others
 
 
+log = logging.getLogger("pipitshed")
+
+
 class Priority(enum.Enum):
     """Which part of the budget a charge may fill; each includes those before it."""
 
@@ -37,6 +42,7 @@
         self.used_bytes = 0
         self.counters: Counter[str] = Counter()  # refused charges by priority, and discarded messages
         self._clock = clock
+        self._logged_at = -math.inf
         self._reclaimable: dict[MemoryCharge, None] = {}  # incomplete messages, the longest stalled first
         self._waiting: deque[Callable[[], None]] = deque()
         self.set_limit(memory_mb)
@@ -65,8 +71,24 @@
             if byte_count <= self.available_bytes(priority):
                 return True
         self.counters[f"memory refused {priority.name.lower()}"] += 1
+        self._log_refusal(byte_count, priority)
         return False
 
+    def _log_refusal(self, byte_count: int, priority: Priority) -> None:
+        """Log that memory is short, once in LOG_INTERVAL_S: senders may repeat it at full speed."""
+        now = self._clock()
+        if now - self._logged_at < LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        log.warning(
+            "memory budget: %s of %d bytes refused, %d of %d bytes in use; so far %s",
+            priority.name.lower(),
+            byte_count,
+            self.used_bytes,
+            self.limit_bytes,
+            dict(self.counters),
+        )
+
     def call_when_available(self, callback: Callable[[], None]) -> None:
         """Call this once as soon as memory has been given back."""
         self._waiting.append(callback)
@@ -122,6 +144,11 @@
         self._is_reclaimable = False
         self.on_reclaim = on_reclaim
 
+    @property
+    def limit_bytes(self) -> float:
+        """The whole budget."""
+        return self._budget.limit_bytes
+
     def try_add(self, byte_count: int, priority: Priority) -> bool:
         """Charge this much more if it fits; False if it does not."""
         budget = self._budget
--- a/pipitshed/flow_control/paced_connection.py
+++ b/pipitshed/flow_control/paced_connection.py
@@ -68,6 +68,11 @@
         """Whether all that the peer has sent so far is handled, so that its disconnect would be known."""
         return self._is_drained and not self._is_deferred and not self._is_held
 
+    def peer(self) -> str:
+        """Who the connection is with, for the log."""
+        address = self._transport.get_extra_info("peername") if self._transport is not None else None
+        return f"{type(self).__name__} {address}"
+
     def has_peer_closed(self) -> bool:
         """Whether the peer's end of the stream has arrived, also behind input that is not read yet."""
         transport = self._transport
--- a/pipitshed/proxy/endpoint_table.py
+++ b/pipitshed/proxy/endpoint_table.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Container, Iterable, Iterator, Sequence
 from dataclasses import replace
 from itertools import groupby, takewhile
 from time import monotonic
 from typing import cast
 
+from pipitshed.flow_control import NO_CHARGE, MemoryBudget, Priority
 from pipitshed.proxy.worker_client import Endpoint
 from pipitshed.scheduling.events import (
     DiscoveryMoved,
@@ -19,9 +21,13 @@
 )
 
 EndpointRow = tuple[EndpointEntry, Endpoint]
+ENDPOINTS_FRACTION = 0.4  # of the memory budget, which all workers together take at most
+ENDPOINT_BYTES = 1536  # taken by one worker, here and in the dispatcher
 FORGET_AFTER_S = 60.0  # after a worker's removal; pending actions of the dispatcher may still name it
 
 
+log = logging.getLogger("pipitshed")
+
 DiscoveryEvent = EndpointsUpdated | DiscoveryMoved
 
 
@@ -67,6 +73,7 @@
         clock: Monotonic time in s.
         workers_in_use: Returns the workers with attempts in flight, or waiting to start.
         on_interfaces_changed: Called when the set of interfaces of ready workers has changed.
+        memory: Bounds the number of workers; further ones are not listed.
     """
 
     def __init__(
@@ -75,7 +82,10 @@
         clock: Callable[[], float] = monotonic,
         workers_in_use: Callable[[], Container[WorkerId]] = _no_workers,
         on_interfaces_changed: Callable[[], None] = _ignore_interfaces,
+        memory: MemoryBudget | None = None,
     ) -> None:
+        self._memory_charge = memory.charge() if memory is not None else NO_CHARGE
+        self._is_full_logged = False
         self.publishes_unchanged = False  # whether unchanged entries are published too: for live weights
         self._post = post
         self._clock = clock
@@ -142,8 +152,8 @@
             entry = self._with_draining_mark(entry)
             if self._planned_weights is not None:
                 entry = replace(entry, planned_weights=self._planned_weights.get(worker))
-            if self._endpoints.get(worker) != endpoint:
-                self._endpoints[worker] = endpoint
+            if not self._set_endpoint(worker, endpoint):
+                continue
             if entry != listed.get(worker) or kind is UpdateKind.CACHED or self.publishes_unchanged:
                 entries[worker] = entry
             else:
@@ -158,6 +168,22 @@
         self._publish(EndpointsUpdated(kind, version, tuple(entries.values())))
         self._forget_removed()
 
+    def _set_endpoint(self, worker: WorkerId, endpoint: Endpoint) -> bool:
+        """Store a worker's endpoint; False if there is no memory for one more worker."""
+        known = self._endpoints.get(worker)
+        charge = self._memory_charge
+        is_within_share = charge.byte_count < ENDPOINTS_FRACTION * charge.limit_bytes
+        if known is None and not (is_within_share and charge.try_add(ENDPOINT_BYTES, Priority.CONTROL)):
+            if not self._is_full_logged:
+                self._is_full_logged = True
+                log.warning(
+                    "no memory for more than %d workers: further ones are not listed", len(self._endpoints)
+                )
+            return False
+        if known != endpoint:
+            self._endpoints[worker] = endpoint
+        return True
+
     def fetch_failed(self) -> None:
         """Publish that a fetch of the list has failed, or that its watch has ended."""
         self._post(EndpointsUpdated(UpdateKind.FETCH_FAILED))
@@ -264,6 +290,8 @@
                 self._removed_at[worker] = now
                 continue
             del self._endpoints[worker]
+            if self._memory_charge.byte_count:
+                self._memory_charge.add(-ENDPOINT_BYTES)
             self._leaving.discard(worker)
             if self._on_forgotten is not None:
                 self._on_forgotten(worker)
--- a/pipitshed/proxy/forwarder.py
+++ b/pipitshed/proxy/forwarder.py
@@ -56,8 +56,10 @@
         loop: asyncio.AbstractEventLoop,
         decision_log: DecisionLog | None = None,
         executed: ExecutedRequests | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
-        self.executed = executed or ExecutedRequests(MemoryBudget(math.inf, monotonic))
+        memory = memory or MemoryBudget(math.inf, monotonic)
+        self.executed = executed or ExecutedRequests(memory)
         self.settings = settings
         self.counters: Counter[str] = Counter()
         self._dispatcher = Dispatcher(settings, seed)
@@ -66,6 +68,7 @@
             self._dispatch_loop.post_endpoint_update,
             workers_in_use=self._workers_in_use,
             on_interfaces_changed=self._interfaces_changed,
+            memory=memory,
         )
         self.endpoints.publishes_unchanged = settings.weight_kind is WeightKind.LIVE
         self._requests = RequestLifecycle(
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -32,6 +32,7 @@
 from pipitshed.proxy.decision_log import DecisionLog
 from pipitshed.proxy.executed_requests import ExecutedRequests
 from pipitshed.proxy.forwarder import Forwarder
+from pipitshed.scheduling.events import UNKNOWN_ZONE
 from pipitshed.scheduling.settings import Settings
 from pipitshed.server.descriptors import DescriptorBudget
 from pipitshed.upstream.http import HttpWorkerClient
@@ -123,11 +124,13 @@
     Discovery starts with the endpoint list that the configuration has cached.
     """
     tenants = TenantRegistry.first(config.tenants)
-    names = Names(NameIndex(config.zones), NameIndex(config.kinds), class_names, tenants)
+    names = Names(NameIndex(config.zones, UNKNOWN_ZONE), NameIndex(config.kinds), class_names, tenants)
     descriptors = DescriptorBudget(config.descriptor_limit)
     flow_control = FlowControl(loop, config.memory_mb)
     executed = ExecutedRequests(flow_control.memory, open_executed_id_files(config))
-    forwarder = Forwarder(config.settings, config.seed, loop, open_decision_log(config), executed)
+    forwarder = Forwarder(
+        config.settings, config.seed, loop, open_decision_log(config), executed, flow_control.memory
+    )
     http_workers = HttpWorkerClient(
         forwarder, config.report_fields, loop, descriptors.left_for_workers, flow_control
     )
--- a/pipitshed/server/server.py
+++ b/pipitshed/server/server.py
@@ -123,7 +123,9 @@
         await self._ended.wait()
         # The handlers are removed with the loop; a signal after that would change the exit code.
         signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
-        counters = self.parts.forwarder.counters + self._discovery_counters()
+        counters = (
+            self.parts.forwarder.counters + self._discovery_counters() + self.parts.flow_control.counters()
+        )
         log.info("ended: %s", " ".join(f"{name}={count}" for name, count in sorted(counters.items())))
 
     def drain(self) -> None:
