--- a/pipitshed/flow_control/input_scheduler.py
+++ b/pipitshed/flow_control/input_scheduler.py
@@ -82,6 +82,15 @@
             self._is_turn_scheduled = True
             self._loop.call_soon(self._run_turn)
 
+    def _continue(self, connection: PacedConnection, until: float) -> bool:
+        """Handle a connection's input; an error ends this connection, not the turns of the others."""
+        try:
+            return connection.continue_input(until)
+        except Exception:
+            log.exception("input of %s could not be handled", connection.peer())
+            connection.abort_after_error()
+            return False
+
     def _run_turn(self) -> None:
         """Handle waiting input, a share of each connection after the other, for TURN_S at most."""
         self._is_turn_scheduled = False
@@ -90,7 +99,7 @@
         for _ in range(len(self._waiting)):
             connection = self._waiting.popleft()
             now = monotonic()
-            if connection.continue_input(now + SHARE_S):
+            if self._continue(connection, now + SHARE_S):
                 self._waiting.append(connection)
             if now >= until:
                 break
--- a/pipitshed/flow_control/paced_connection.py
+++ b/pipitshed/flow_control/paced_connection.py
@@ -68,6 +68,16 @@
         """Whether all that the peer has sent so far is handled, so that its disconnect would be known."""
         return self._is_drained and not self._is_deferred and not self._is_held
 
+    @property
+    def has_deferred_input(self) -> bool:
+        """Whether received input waits for the connection's turn."""
+        return self._is_deferred
+
+    def abort_after_error(self) -> None:
+        """Close the connection: handling its input has failed."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def peer(self) -> str:
         """Who the connection is with, for the log."""
         address = self._transport.get_extra_info("peername") if self._transport is not None else None
--- a/pipitshed/frontends/gearman/connection.py
+++ b/pipitshed/frontends/gearman/connection.py
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from pipitshed.frontends.gearman.frontend import GearmanFrontend, SubmissionParameters
 
+PEER_CHECK_S = 0.05  # between looks at whether a peer that does not read has closed its end
 START_WAIT_S = 0.05  # for which a job waits until all that its client has sent is read
 LINGER_S = 0.5  # time after the last packet during which input is discarded
 MAX_UNSENT_BYTES = 16 * 1024  # of output; beyond it no further input of the peer is handled
@@ -135,6 +136,17 @@
         """Handle no more input of a peer that does not read, and close its connection after a while."""
         self.hold_input(HoldReason.UNREAD_OUTPUT)
         self._write_timer = self._frontend.loop.call_later(WRITE_TIMEOUT_S, self.abort)
+        self._frontend.loop.call_later(PEER_CHECK_S, self._check_peer)
+
+    def _check_peer(self) -> None:
+        """Notice the disconnect of a client from which nothing is read, so that none of its jobs starts."""
+        if self._write_timer is None or self._transport is None:
+            return
+        if self.has_peer_closed():
+            self._withdraw_jobs()
+            self.abort()
+        else:
+            self._frontend.loop.call_later(PEER_CHECK_S, self._check_peer)
 
     def resume_writing(self) -> None:
         """Handle input again."""
--- a/pipitshed/frontends/http/connection.py
+++ b/pipitshed/frontends/http/connection.py
@@ -94,7 +94,8 @@
     @property
     def is_idle(self) -> bool:
         """Whether no response is outstanding and no part of a request has arrived."""
-        return self._request_context is None and not self._queue and not self._is_receiving
+        is_answered = self._request_context is None and not self._queue
+        return is_answered and not self._is_receiving and not self.has_deferred_input
 
     def idle_since(self) -> float:
         """The loop time of the last input or response."""
