--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -6,6 +6,7 @@
 import json
 import random
 import signal
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from time import monotonic
@@ -66,6 +67,7 @@
         self._http, self._gearman = HttpClients(running.http), GearmanClients(running.gearman)
         budget = DescriptorBudget(scenario.sockets)
         self._connection_limits = {"http": budget.max_http_clients(), "gearman": budget.max_gearman_peers()}
+        self._pressing_connections = Counter[str]()
         self._request_tasks: set[asyncio.Task[None]] = set()
         self._fault_lock = asyncio.Lock()
         self._started_at = monotonic()
@@ -153,8 +155,8 @@
         task.add_done_callback(self._request_tasks.discard)
 
     def _open_request_count(self, clients: str) -> int:
-        """Number of open requests of these clients (`http` or `gearman`)."""
-        return sum(
+        """Number of open requests, and other connections, of these clients (`http` or `gearman`)."""
+        return self._pressing_connections[clients] + sum(
             request.kind.startswith(clients) and not request.ended
             for request in self.requests[-RECENT_REQUESTS:]
         )
@@ -199,7 +201,10 @@
         self._signal(signal.SIGHUP)
 
     async def _press(self, event: Pressure) -> None:
+        clients = "gearman" if event.kind in pressure.GEARMAN_KINDS else "http"
+        self._pressing_connections[clients] += event.connection_count
         await pressure.apply(event, self.running.http, self.running.gearman)
+        self._pressing_connections[clients] -= event.connection_count
 
     async def _shut_down(self) -> bool:
         """Send SIGTERM, and SIGKILL after the longest deadline; return whether SIGKILL was needed."""
--- a/benchmarks/soak/pressure.py
+++ b/benchmarks/soak/pressure.py
@@ -29,12 +29,12 @@
         PacketType.SUBMIT_JOB_BG, b"no_such_function", b"u", b"", magic=REQUEST_MAGIC
     ),
 }
-_GEARMAN_KINDS = ("echoes", "background_jobs")
+GEARMAN_KINDS = ("echoes", "background_jobs")
 
 
 async def apply(pressure: Pressure, http_port: int, gearman_port: int) -> None:
     """Press on the scheduler for the drawn time."""
-    port = gearman_port if pressure.kind in _GEARMAN_KINDS else http_port
+    port = gearman_port if pressure.kind in GEARMAN_KINDS else http_port
     if pressure.kind in _HELD:
         sockets = await asyncio.to_thread(_hold, pressure, port, _HELD[pressure.kind])
         await asyncio.sleep(pressure.duration_s)
