A connection with input that is not read yet is not closed for a newcomer

Cause: with all clients busy, the frontend closed the connection that had sent nothing so far, which after the pause was one whose request had arrived and was read an iteration later. The iterations are longer beside a flood.

Change: before a silent connection is closed, its socket is asked whether input waits.

--- a/pipitshed/flow_control/paced_connection.py
+++ b/pipitshed/flow_control/paced_connection.py
@@ -87,11 +87,19 @@
 
     def has_peer_closed(self) -> bool:
         """Whether the peer's end of the stream has arrived, also behind input that is not read yet."""
+        return self._is_ready_for(select.POLLRDHUP)
+
+    def has_unread_input(self) -> bool:
+        """Whether the peer has sent something that is not read yet."""
+        return self._is_ready_for(select.POLLIN)
+
+    def _is_ready_for(self, event: int) -> bool:
+        """Whether a poll of the socket reports this event; True for a connection that is closed."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return True
         poll = select.poll()
-        poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        poll.register(transport.get_extra_info("socket").fileno(), event)
         return bool(poll.poll(0))
 
     def hold_input(self, reason: HoldReason) -> None:
--- a/pipitshed/frontends/http/frontend.py
+++ b/pipitshed/frontends/http/frontend.py
@@ -68,16 +68,20 @@
 
         The order is: one without a complete request that has sent nothing or has stalled, the one that is
         idle for longest, one that is still sending its first request. So clients that keep unused connections
-        can't evict those that use theirs, nor those that send a request slowly.
+        can't evict those that use theirs, nor those that send a request slowly. A connection with input that
+        is not read yet is not closed, as it may hold a whole request.
         """
         now, candidates = self.loop.time(), self.awaiting_first_request
         for connection in islice(candidates, MAX_EVICTION_CANDIDATES):
             is_stalled = now - connection.last_received_at >= STALLED_AFTER_S
-            if connection is not new_connection and (not connection.is_receiving or is_stalled):
+            is_silent = not connection.is_receiving and not connection.has_unread_input()
+            if connection is not new_connection and (is_silent or is_stalled):
                 return connection
-        idle = next((one for one in self.connections if one.is_idle and one not in candidates), None)
+        idle = (one for one in self.connections if one.is_idle and one not in candidates)
+        unused = next((one for one in idle if not one.has_unread_input()), None)
         first = next(iter(candidates))
-        return idle or (first if first is not new_connection else None)
+        may_close_first = first is not new_connection and not first.has_unread_input()
+        return unused or (first if may_close_first else None)
 
     def received(self, connection: HttpConnection) -> None:
         """Move a connection that sent a part of its first request to the end of the eviction order."""
