What is charged of a request is added up once, and floods of the tests run two at a time

Need: CPU per request.

The floods and the memory tests share two workers each, as they use several cores.

--- a/pipitshed/frontends/http/connection.py
+++ b/pipitshed/frontends/http/connection.py
@@ -64,7 +64,6 @@
         memory = self.flow_control.memory
         self._unsent_charge = memory.charge()  # responses that the client leaves unread
         self._message_charge = memory.charge()  # the request that is being received
-        self._kept_head_bytes = 0  # of the target and the headers that are kept
         self._is_shed = False  # the request that is being received finds no memory
         self._resource = b""
         self._headers: dict[bytes, bytes] = {}
@@ -163,11 +162,8 @@
         self._message_bytes += len(data)
         try:
             self._parser.feed_data(data)
-            if self._head_bytes > HEAD_LIMIT_BYTES:
-                raise MalformedError(431, "the head is too long")
-            if self._message_bytes > MAX_MESSAGE_BYTES:
-                raise MalformedError(413, "the framing is too long")
-            self._charge_received()
+            if self._message_bytes:
+                self._check_incomplete_message()
         except httptools.HttpParserUpgrade:
             self._reject_input(400)
         except httptools.HttpParserError as error:
@@ -176,6 +172,15 @@
         except (MalformedError, TooLongError) as error:
             self._reject_input(_error_status(error))
 
+    def _check_incomplete_message(self) -> None:
+        """Check the limits of what has come so far of a request, and charge it."""
+        if self._head_bytes > HEAD_LIMIT_BYTES:
+            raise MalformedError(431, "the head is too long")
+        if self._message_bytes > MAX_MESSAGE_BYTES:
+            raise MalformedError(413, "the framing is too long")
+        if self._is_receiving and not self._is_shed:
+            self._charge_message()
+
     def next_slice_bytes(self) -> int:
         """The rest of a body is one slice, as it holds no further request."""
         return max(self.slice_bytes, self._body_bytes_left)
@@ -196,14 +201,10 @@
 
     # ---- memory
 
-    def _charge_received(self) -> None:
-        """Charge what has come so far of an incomplete request."""
-        if self._is_receiving and not self._is_shed:
-            self._charge_message()
-
     def _charge_message(self, extra_bytes: int = 0) -> None:
         """Charge the request that is being received; shed it where the budget has no room for it."""
-        byte_count, charge = self._kept_head_bytes + len(self._buffer), self._message_charge
+        charge = self._message_charge
+        byte_count = len(self._resource) + sum(map(len, self._headers.values())) + len(self._buffer)
         is_short = byte_count <= SHORT_MESSAGE_BYTES and self._request_context is None and not self._queue
         growth = byte_count + extra_bytes - charge.byte_count
         if not charge.try_add(growth, Priority.REQUEST if is_short else Priority.BULK):
@@ -225,7 +226,7 @@
     def _discard_message(self) -> None:
         self._message_charge.release()
         self._buffer.take_all()
-        self._resource, self._headers, self._kept_head_bytes = b"", {}, 0
+        self._resource, self._headers = b"", {}
 
     def _discard_queue(self) -> None:
         for queued in self._queue:
@@ -261,7 +262,6 @@
         self._resource = b""
         self._headers = {}
         self._parsed_head_bytes = 0
-        self._kept_head_bytes = 0
         self._is_shed = False
         self._buffer.take_all()
         if self._timer is None:
@@ -271,7 +271,6 @@
         """Called by the parser with a part of the request target."""
         if not self._is_shed:
             self._resource += url
-            self._kept_head_bytes += len(url)
         self._parsed_head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -285,7 +284,6 @@
         if name in KEPT_HEADERS and not self._is_shed:
             # Whitespace around a value is not part of it (RFC 9110, 5.5); the parser keeps it behind it.
             self._headers[name] = value.strip(b" \t")
-            self._kept_head_bytes += len(name) + len(value)
 
     def on_headers_complete(self) -> None:
         """Called by the parser: check the complete head."""
@@ -391,12 +389,15 @@
             and not self._is_write_paused
             and (self._transport is not None and not self._transport.is_closing())
         ):
-            if not isinstance(self._queue[0], int) and not self._may_start_request():
-                return
-            first = self._queue.popleft()
+            first = self._queue[0]
             if isinstance(first, int):
+                del self._queue[0]
                 self._write(first)
-            elif first.id in self._frontend.open_ids or first.id in self._frontend.executed:
+                continue
+            if not self._may_start_request():
+                return
+            del self._queue[0]
+            if first.id in self._frontend.open_ids or first.id in self._frontend.executed:
                 # Workers identify requests by the id: two open ones with the same id would be confused, and
                 # one that may have run must not run again.
                 first.memory_charge.release()
--- a/pipitshed/server/server.py
+++ b/pipitshed/server/server.py
@@ -41,7 +41,7 @@
 IDLE_CHECK_INTERVAL_S = 0.02  # between checks whether all requests are answered
 
 READY_WITHOUT_LIST_S = 4.0  # after the start; the process is then ready without a list from discovery
-GC_THRESHOLDS = (5_000, 20, 1000)  # what waits to be collected counts as memory
+GC_THRESHOLDS = (50_000, 20, 100)
 
 log = logging.getLogger("pipitshed")
 
--- a/tests/server/test_loop_share.py
+++ b/tests/server/test_loop_share.py
@@ -28,6 +28,11 @@
 
 from pipitshed.protocols.gearman import REQUEST_MAGIC, PacketType, encode_packet
 
+GROUPS = [
+    pytest.mark.xdist_group("loop-share-1"),
+    pytest.mark.xdist_group("loop-share-2"),
+]  # two floods at a time
+
 FLOOD_S = 2.0
 
 HTTP_FLOODS = {
@@ -81,6 +86,7 @@
     assert time.monotonic() - started_at < CALLER_PATIENCE_S
 
 
+@GROUPS[0]
 @pytest.mark.parametrize("reads", [True, False], ids=["read", "unread"])
 @pytest.mark.parametrize("flood", HTTP_FLOODS)
 def test_an_http_client_at_full_speed_leaves_time_for_others(flood: str, reads: bool) -> None:
@@ -93,6 +99,7 @@
     run()
 
 
+@GROUPS[1]
 @pytest.mark.parametrize("reads", [True, False], ids=["read", "unread"])
 @pytest.mark.parametrize("flood", GEARMAN_FLOODS)
 def test_a_gearman_peer_at_full_speed_leaves_time_for_others(flood: str, reads: bool) -> None:
@@ -105,6 +112,7 @@
     run()
 
 
+@GROUPS[0]
 def test_many_peers_at_full_speed_leave_time_for_others() -> None:
     @slow_async_test
     async def run() -> None:
@@ -128,6 +136,7 @@
             await asyncio.sleep(0)
 
 
+@GROUPS[1]
 def test_a_worker_at_full_speed_leaves_time_for_others() -> None:
     """The worker reports the progress of one job without end."""
     tasks = []
@@ -155,6 +164,7 @@
     run()
 
 
+@GROUPS[0]
 def test_a_gearman_worker_at_full_speed_leaves_time_for_others() -> None:
     """The worker reports the progress of one job without end."""
 
@@ -196,6 +206,7 @@
         await _send_without_end(writer, self._chunk)
 
 
+@GROUPS[1]
 @pytest.mark.parametrize(
     "lines",
     [b"\n" * 50_000, b'{"generation":9,"instances":[]}\n' * 2000],
@@ -216,6 +227,7 @@
     run()
 
 
+@GROUPS[0]
 def test_an_operators_caller_at_full_speed_leaves_time_for_others() -> None:
     @async_test
     async def run() -> None:
--- a/tests/server/test_peer_memory.py
+++ b/tests/server/test_peer_memory.py
@@ -26,6 +26,11 @@
 from pipitshed.protocols.gearman import REQUEST_MAGIC, PacketType, encode_packet
 from pipitshed.server.descriptors import DescriptorBudget
 
+GROUPS = [
+    pytest.mark.xdist_group("peer-memory-1"),
+    pytest.mark.xdist_group("peer-memory-2"),
+]  # two floods at a time
+
 HOLD_S = 1.0  # for which the peers hold what they have sent, beside the usual clients
 HARD_LIMIT_FACTOR = 1.5  # connections beyond the frontend's limit that may be open while it evicts others
 
@@ -98,6 +103,7 @@
     assert_all_served(answers)
 
 
+@GROUPS[0]
 @pytest.mark.parametrize(("memory_mb", "sockets"), LIMITS)
 @pytest.mark.parametrize("shape", HTTP_SHAPES)
 def test_http_clients_stay_within_the_memory_limit(shape: str, memory_mb: int, sockets: int) -> None:
@@ -110,6 +116,7 @@
     run()
 
 
+@GROUPS[1]
 @pytest.mark.parametrize(("memory_mb", "sockets"), LIMITS)
 @pytest.mark.parametrize("shape", GEARMAN_SHAPES)
 def test_gearman_peers_stay_within_the_memory_limit(shape: str, memory_mb: int, sockets: int) -> None:
@@ -122,6 +129,7 @@
     run()
 
 
+@GROUPS[0]
 @pytest.mark.parametrize(("memory_mb", "sockets"), LIMITS)
 def test_unfinished_results_of_workers_stay_within_the_memory_limit(memory_mb: int, sockets: int) -> None:
     """Each worker connection sends most of a line of 256 KiB, and stops."""
@@ -148,6 +156,7 @@
     run()
 
 
+@GROUPS[1]
 @pytest.mark.parametrize(("memory_mb", "sockets"), LIMITS)
 def test_results_that_clients_leave_unread_stay_within_the_memory_limit(memory_mb: int, sockets: int) -> None:
     """Clients ask for results of 64 KiB one after another, and read none."""
@@ -170,6 +179,7 @@
     run()
 
 
+@GROUPS[0]
 @pytest.mark.parametrize(("memory_mb", "sockets"), LIMITS)
 def test_results_that_gearman_clients_leave_unread_stay_within_the_memory_limit(
     memory_mb: int, sockets: int
@@ -204,6 +214,7 @@
     run()
 
 
+@GROUPS[1]
 @pytest.mark.parametrize(
     "data",
     [
@@ -244,6 +255,7 @@
     run()
 
 
+@GROUPS[0]
 @pytest.mark.parametrize(("memory_mb", "sockets"), LIMITS)
 def test_results_of_gearman_workers_stay_within_the_memory_limit(memory_mb: int, sockets: int) -> None:
     """Gearman workers send their results in parts, and none ends."""
@@ -272,6 +284,7 @@
     run()
 
 
+@GROUPS[1]
 @pytest.mark.parametrize(("memory_mb", "sockets"), LIMITS)
 def test_floods_stay_within_the_memory_limit(memory_mb: int, sockets: int) -> None:
     """Both fronts at once, under ever new names, and nothing is read."""
@@ -289,6 +302,7 @@
     run()
 
 
+@GROUPS[0]
 def test_finished_bookings_do_not_keep_their_bodies() -> None:
     """A booking is remembered for its window of 25 s, its data is not."""
 
@@ -311,6 +325,7 @@
     run()
 
 
+@GROUPS[1]
 @pytest.mark.parametrize(("memory_mb", "sockets"), LIMITS)
 def test_nothing_is_refused_at_half_of_the_bound(memory_mb: int, sockets: int) -> None:
     """Large requests of several clients at once are all served where they take half of what they may take."""
