A stalled Gearman packet that makes room for others costs its client no accepted job

Need: read again: a client's connection was closed to discard its half packet, and with it its jobs under way were withdrawn.

Change: the rest of the packet is skipped and answered with ERR_QUEUE_FULL, the connection stays; a worker's connection is closed, as its result can't be skipped.

Result: tests/frontends/test_gearman_memory.py 2 of 2; 1 of 2 without the change (the jobs were withdrawn).

--- a/pipitshed/frontends/gearman/connection.py
+++ b/pipitshed/frontends/gearman/connection.py
@@ -194,23 +194,28 @@
         elif charge.try_add(growth, Priority.BULK):
             charge.allow_reclaim()
         else:
-            self._shed_bytes = missing_bytes(self._buffer)
-            self._buffer.take_all()
-            charge.release()
+            self._shed_packet()
+
+    def _shed_packet(self) -> None:
+        """Keep nothing of the incomplete packet; an error is sent at its end."""
+        self._shed_bytes = missing_bytes(self._buffer)
+        self._buffer.take_all()
+        self._packet_charge.release()
 
     def _skip_shed(self, data: bytes) -> bytes:
         """Skip the rest of a submission that is shed; return what follows it."""
         skipped = data[: self._shed_bytes]
         self._shed_bytes -= len(skipped)
         if not self._shed_bytes:
-            self._write_error(b"ERR_QUEUE_FULL", b"no memory for this job at present")
+            self._write_error(b"ERR_QUEUE_FULL", b"no memory for this packet at present")
         return data[len(skipped) :]
 
     def _reclaim_packet(self) -> None:
-        """Close the connection of a peer that stopped within a packet, as others need its memory."""
-        self._buffer.take_all()
-        self._write_error(b"ERR_QUEUE_FULL", b"no memory for this packet at present")
-        self.close()
+        """Drop a stalled packet, as others need its memory; a client keeps its connection, and so its jobs."""
+        if peek_kind(self._buffer) in WORKER_KINDS:
+            self.abort()
+        else:
+            self._shed_packet()
 
     # ---- packets
 
