--- a/pipitshed/flow_control/memory_budget.py
+++ b/pipitshed/flow_control/memory_budget.py
@@ -23,8 +23,8 @@
 log = logging.getLogger("pipitshed")
 
 
-class Priority(enum.Enum):
-    """Which part of the budget a charge may fill; each includes those before it."""
+class Priority(float, enum.Enum):
+    """Which fraction of the budget may be in use after a charge; each includes those before it."""
 
     BULK = 0.4  # long messages, and requests that wait behind another one
     REQUEST = 0.8  # short messages
@@ -55,7 +55,7 @@
 
     def available_bytes(self, priority: Priority) -> float:
         """How much more a charge of this priority may take."""
-        return priority.value * self.limit_bytes - self.used_bytes
+        return priority * self.limit_bytes - self.used_bytes
 
     def charge(self, byte_count: int = 0) -> MemoryCharge:
         """Create a charge for memory that is in use already, whatever is available."""
@@ -156,12 +156,13 @@
     def try_add(self, byte_count: int, priority: Priority) -> bool:
         """Charge this much more if it fits; False if it does not."""
         budget = self._budget
-        if byte_count > priority.value * budget.limit_bytes - budget.used_bytes and not budget.admits(
-            byte_count, priority
-        ):
-            return False
+        used_bytes = budget.used_bytes + byte_count
+        if used_bytes > priority * budget.limit_bytes:
+            if not budget.admits(byte_count, priority):
+                return False
+            used_bytes = budget.used_bytes + byte_count  # stalled messages may have been discarded
         self.byte_count += byte_count
-        budget.used_bytes += byte_count
+        budget.used_bytes = used_bytes
         return True
 
     def add(self, byte_count: int) -> None:
--- a/pipitshed/flow_control/paced_connection.py
+++ b/pipitshed/flow_control/paced_connection.py
@@ -33,6 +33,21 @@
         slice_bytes: The size of a usual slice of the input.
     """
 
+    # With slots here, the attributes of derived classes still fit a key-sharing dictionary.
+    __slots__ = (
+        "flow_control",
+        "_connection_charge",
+        "_deferred",
+        "_ends_turn",
+        "_held_for",
+        "_is_deferred",
+        "_is_drained",
+        "_is_held",
+        "_read_buffer",
+        "_read_count",
+        "_transport",
+    )
+
     slice_bytes = DEFAULT_SLICE_BYTES
 
     def __init__(self, flow_control: FlowControl) -> None:
--- a/pipitshed/frontends/gearman/connection.py
+++ b/pipitshed/frontends/gearman/connection.py
@@ -211,7 +211,7 @@
         return data[len(skipped) :]
 
     def _reclaim_packet(self) -> None:
-        """Drop a stalled packet, as others need its memory; a client keeps its connection, and so its jobs."""
+        """Drop a stalled packet, as others need its memory; a client keeps its connection and its jobs."""
         if peek_kind(self._buffer) in WORKER_KINDS:
             self.abort()
         else:
--- a/pipitshed/frontends/http/connection.py
+++ b/pipitshed/frontends/http/connection.py
@@ -179,7 +179,8 @@
         if self._message_bytes > MAX_MESSAGE_BYTES:
             raise MalformedError(413, "the framing is too long")
         if self._is_receiving and not self._is_shed:
-            self._charge_message()
+            kept_bytes = len(self._resource) + sum(map(len, self._headers.values()))
+            self._charge_message(kept_bytes + len(self._buffer))
 
     def next_slice_bytes(self) -> int:
         """The rest of a body is one slice, as it holds no further request."""
@@ -201,12 +202,11 @@
 
     # ---- memory
 
-    def _charge_message(self, extra_bytes: int = 0) -> None:
-        """Charge the request that is being received; shed it where the budget has no room for it."""
+    def _charge_message(self, byte_count: int, overhead_bytes: int = 0) -> None:
+        """Charge this much of a request and its overhead; shed it where the budget has no room for it."""
         charge = self._message_charge
-        byte_count = len(self._resource) + sum(map(len, self._headers.values())) + len(self._buffer)
         is_short = byte_count <= SHORT_MESSAGE_BYTES and self._request_context is None and not self._queue
-        growth = byte_count + extra_bytes - charge.byte_count
+        growth = byte_count + overhead_bytes - charge.byte_count
         if not charge.try_add(growth, Priority.REQUEST if is_short else Priority.BULK):
             self._shed_message()
         elif not is_short:
@@ -342,7 +342,7 @@
 
     def _queue_request(self, verb: bytes) -> bool:
         """Queue the received request; False if the memory budget has no room for it."""
-        self._charge_message(REQUEST_BYTES)
+        self._charge_message(self._parsed_head_bytes + len(self._buffer), REQUEST_BYTES)
         if self._is_shed:
             return False
         charge, self._message_charge = self._message_charge, self.flow_control.memory.charge()
