An iteration of the loop gives floods two milliseconds, not twelve

Cause: beside a flood each iteration took 12 ms (2 times TURN_S), and a job on a new connection passes a dozen of them between its accept and its answer; its deadline is counted from when it is read. It is no noise of the stand-ins, which were held up for 13 to 58 ms by the same flood.

Change: a connection is handled for 0.5 ms, those beyond their share for 1 ms in an iteration. The soak's floods run in a process of their own, as their threads took time from the stand-ins.

--- a/benchmarks/soak/pressure.py
+++ b/benchmarks/soak/pressure.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import socket
+import sys
 
 from benchmarks.soak.drawing import Pressure
 from pipitshed.protocols.gearman import REQUEST_MAGIC, PacketType, encode_packet
-from pipitshed.testbed.flood import Flood
 
 BODY_BYTES = 64 * 1024
-MAX_FLOODING = 4  # connections of one flood, as each takes two threads beside the stand-ins
+MAX_FLOODING = 4  # connections of one flood
 SEND_TIMEOUT_S = 0.2  # after which a peer that holds its message has sent what the scheduler takes
 _HEAD = b"POST /api HTTP/1.1\r\nX-Request-Id: %s\r\nX-Class: quote\r\nContent-Length: %d\r\n\r\n"
 
@@ -21,7 +21,7 @@
     "pipelines": _HEAD % (b"first", 0) + (_HEAD % (b"next", BODY_BYTES) + b"p" * BODY_BYTES) * 8,
 }
 # Messages sent again and again.
-_FLOODS = {
+FLOODS = {
     "health_checks": b"GET /_health HTTP/1.1\r\n\r\n",
     "wrong_methods": b"PUT /api HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
     "echoes": encode_packet(PacketType.ECHO_REQ, b"", magic=REQUEST_MAGIC),
@@ -41,9 +41,25 @@
         for sock in sockets:
             sock.close()
     else:
-        floods = await asyncio.to_thread(_flood, pressure, port, _FLOODS[pressure.kind])
-        await asyncio.sleep(pressure.duration_s)
-        await asyncio.to_thread(lambda: [flood.close() for flood in floods])
+        await _flood(pressure, port)
+
+
+async def _flood(pressure: Pressure, port: int) -> None:
+    """Send at full speed from a process of its own: threads here would delay the stand-ins."""
+    arguments = (str(port), pressure.kind, str(min(MAX_FLOODING, pressure.connection_count)))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "benchmarks.soak.flood_process",
+        *arguments,
+        str(pressure.duration_s),
+        *(("--reads",) if pressure.reads else ()),
+    )
+    try:
+        await process.wait()
+    finally:
+        if process.returncode is None:
+            process.kill()
 
 
 def _hold(pressure: Pressure, port: int, data: bytes) -> list[socket.socket]:
@@ -56,14 +72,3 @@
         except OSError:
             continue  # the scheduler takes no more of it, or has closed its address
     return sockets
-
-
-def _flood(pressure: Pressure, port: int, data: bytes) -> list[Flood]:
-    floods = []
-    for _ in range(min(MAX_FLOODING, pressure.connection_count)):
-        try:
-            sock = socket.create_connection(("127.0.0.1", port))
-        except OSError:
-            break
-        floods.append(Flood(sock, data, pressure.reads))
-    return floods
--- a/pipitshed/flow_control/input_scheduler.py
+++ b/pipitshed/flow_control/input_scheduler.py
@@ -19,8 +19,8 @@
 
 LOG_INTERVAL_S = 5.0  # between two reports of connections that use up their share
 READ_BYTES = 16 * 1024  # of one read; what a connection keeps unhandled at most
-SHARE_S = 0.002  # for which one connection is handled without a break
-TURN_S = 0.006  # for which connections beyond their share are handled in one iteration of the loop
+SHARE_S = 0.0005  # for which one connection is handled without a break
+TURN_S = 0.001  # for all beyond their share in an iteration: a job passes a dozen iterations of the loop
 
 
 log = logging.getLogger("pipitshed")
