A memory test registers its Gearman workers before it submits jobs

A worker that registered after the first jobs were submitted was woken for one of them (NOOP), where the test expects the answer to its ECHO.

Change: all workers register first. The checks are as before.

--- a/tests/server/test_peer_memory.py
+++ b/tests/server/test_peer_memory.py
@@ -264,10 +264,11 @@
     async def run() -> None:
         async with _limited(memory_mb, sockets) as (running, _):
             workers, clients = [], []
-            for number in range(DescriptorBudget(sockets).max_gearman_peers() // 2 - 2):
+            for _ in range(DescriptorBudget(sockets).max_gearman_peers() // 2 - 2):
                 worker = await GearmanPeer.to(running.gearman_port)
                 await worker.register(b"book_pallet")
                 workers.append(worker)
+            for number in range(len(workers)):
                 clients.append(await HttpClient.to(running.port))
                 clients[-1].ask(f"job-{number}", "book", Idempotency_Key=f"k{number}", X_Deadline="9.0")
             for worker in workers:
