--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,12 +1,10 @@
-"""Planners in another data centre, some of whose answers are followed by a second one, 8 ms late."""
+"""A Gearman worker that runs two jobs on its connection, and hangs in the middle of one of them."""
 
 # ruff: noqa: D102, D103
 
 from __future__ import annotations
 
 import asyncio
-import json
-import random
 import sys
 from pathlib import Path
 
@@ -15,103 +13,113 @@
 
 import rig  # noqa: E402
 
-JOBS, JOBS_PER_S = 1500, 30.0
-WORK_S = 0.15
-ONE_WAY_S = 0.010  # between the data centres: 7.5 to 13 ms
-SPOILT = 0.15  # of the answers
-LATE_S = 0.008
-SECOND_ANSWER = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+FRONT = """
+[gearman]
+listen = ["127.0.0.1:{port}"]
+[gearman.functions]
+book_pallet = {{ class = "book", tenant = "andes-retail", patience-s = 15.0 }}
+"""
+CAN_DO, PRE_SLEEP, NOOP, NO_JOB, WORK_STATUS, GRAB_JOB_UNIQ, JOB_ASSIGN_UNIQ = 1, 4, 6, 10, 12, 30, 31
+SLOTS = 2  # of a worker
+WORK_S, TELLS_EVERY_S = 9.0, 1.0
+HANGS_AFTER_S, HANGS_FOR_S = 1.0, 5.0  # the second job of the first worker
 
 
-class FarWriter:
-    """What is written arrives `ONE_WAY_S` later."""
+class Worker:
+    """A worker with two slots on one connection; it tells the progress of each job that it runs."""
 
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
-        self.writer = writer
-
-    def write(self, data: bytes) -> None:
-        asyncio.get_running_loop().call_later(ONE_WAY_S, self._arrive, data)
-
-    def _arrive(self, data: bytes) -> None:
-        if not self.writer.is_closing():
-            self.writer.write(data)
-
-
-class Out:
-    """An attempt that a planner has received whole; out until its answer ends or its connection is closed."""
-
-    def __init__(self, planner: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.planner, self.reader, self.writer = planner, reader, writer
-        self.has_ended = False
-
-    def is_out(self) -> bool:
-        return not (self.has_ended or self.reader.at_eof() or self.writer.is_closing())
-
-
-class Planner(rig.Planner):
-    """A planner that takes one request at a time on a connection, and repeats itself now and then."""
-
-    out: dict[str, list[Out]] = {}
+    out: dict[str, list[Worker]] = {}  # unique id: the workers that run its job at this moment
+    ended: dict[str, list[str]] = {}  # unique id: the workers that have run its job to the end
     broken: list[str] = []
-    random = random.Random(1)
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        far, loop = FarWriter(writer), asyncio.get_running_loop()
+    def __init__(self, name: str, record: rig.Record, hangs: bool) -> None:
+        self.name, self.record, self.hangs = name, record, hangs
+        self.peer: rig.Gearman | None = None
+        self.jobs: list[asyncio.Task[None]] = []
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the scheduler has left the connection open."""
+        peer = self.peer
+        return peer is not None and not peer.reader.at_eof() and not peer.writer.is_closing()
+
+    async def serve(self, port: int) -> None:
+        peer = self.peer = await rig.Gearman.connect(port)
+        peer.send(CAN_DO, b"book_pallet")
+        peer.send(GRAB_JOB_UNIQ)
         while True:
-            _, headers = await rig.read_head(reader)
-            await reader.readexactly(int(headers.get("content-length", "0")))
-            await asyncio.sleep(ONE_WAY_S)
-            number = headers["x-request-id"]
-            earlier = self.out.setdefault(number, [])
-            self.record.add(f"{self.name} gets {number}, attempt {len(earlier) + 1}")
-            where = [one.planner for one in earlier if one.is_out()]
-            self.broken += [
-                f"{number} reached {self.name} while its attempt at {name} was out" for name in where
-            ]
-            attempt = Out(self.name, reader, writer)
-            earlier.append(attempt)
-            far.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + _line(number, "started"))
-            await asyncio.sleep(WORK_S)
-            far.write(_line(number, "done", result=f"route {number}") + b"0\r\n\r\n")
-            attempt.has_ended = True
-            if rig.TROUBLE and self.random.random() < SPOILT:
-                self.record.add(f"{self.name} answers {number} a second time, {LATE_S * 1000:.0f} ms late")
-                loop.call_later(LATE_S, far.write, SECOND_ANSWER)
-
-
-def _line(number: str, state: str, **more: str) -> bytes:
-    return rig.chunk(json.dumps({"id": number, "state": state} | more).encode() + b"\n")
+            kind, arguments = await peer.receive()
+            if kind == NO_JOB:
+                peer.send(PRE_SLEEP)
+            elif kind == NOOP:
+                peer.send(GRAB_JOB_UNIQ)
+            elif kind == JOB_ASSIGN_UNIQ:
+                is_stuck = self.hangs and len(self.jobs) == 1
+                self.jobs.append(asyncio.ensure_future(self.run(peer, arguments, is_stuck)))
+                if len(self.jobs) < SLOTS:
+                    peer.send(GRAB_JOB_UNIQ)
+
+    async def run(self, peer: rig.Gearman, arguments: list[bytes], is_stuck: bool) -> None:
+        handle, unique = arguments[0], arguments[2].decode()
+        self.record.add(f"{self.name} is assigned {unique}")
+        out = self.out.setdefault(unique, [])
+        self.broken += [
+            f"{unique} was assigned to {self.name} while it was out at {other.name}, on an open connection"
+            for other in out
+            if other.is_connected
+        ]
+        out.append(self)
+        elapsed_s = 0.0
+        while elapsed_s < WORK_S:
+            if is_stuck and elapsed_s >= HANGS_AFTER_S:
+                is_stuck = False
+                self.record.add(f"{self.name} hangs in {unique}")
+                await asyncio.sleep(HANGS_FOR_S)
+                self.record.add(f"{self.name} goes on with {unique}")
+            peer.send(WORK_STATUS, handle, b"%d" % elapsed_s, b"%d" % WORK_S)
+            await asyncio.sleep(TELLS_EVERY_S)
+            elapsed_s += TELLS_EVERY_S
+        out.remove(self)
+        self.ended.setdefault(unique, []).append(self.name)
+        self.record.add(f"{self.name} has run {unique} to its end")
+        if self.is_connected:
+            peer.send(rig.Gearman.COMPLETE, handle, f"booked by {self.name}".encode())
 
 
 async def case(record: rig.Record, folder: Path, cleanup: rig.Cleanup) -> list[str]:
-    async def never(_: rig.Attempt) -> str:
-        return ""
-
-    planners = [Planner(f"s-{number}", record, never, zone="arequipa") for number in range(2)]
-    discovery = rig.Discovery(record, planners)
-    cleanup.add(*planners, discovery)
-    for server in (*planners, discovery):
-        await server.start()
-    scheduler = rig.Scheduler(folder, record, rig.config(discovery))
+    discovery = rig.Discovery(record, [])
+    cleanup.add(discovery)
+    await discovery.start()
+    front, port = folder / "front.toml", rig.free_port()
+    front.write_text(FRONT.format(port=port))
+    scheduler = rig.Scheduler(folder, record, rig.config(discovery), f"--front {front}")
     cleanup.add(scheduler)
     await scheduler.start()
     await scheduler.ready()
-
-    async def ask(number: int) -> None:
-        name, is_book = f"c{number:015d}", number % 2 == 0
-        reader, writer = await asyncio.open_connection("127.0.0.1", scheduler.port)
-        key = f"key-{number}" if is_book else ""
-        writer.write(rig.post(name, "book" if is_book else "quote", f"pallet {number}", 5.0, key))
-        status, _ = await rig.answer(reader)
-        record.add(f"client gets {status} for {name}")
-        writer.close()
-
-    asks = []
-    for number in range(JOBS):
-        asks.append(asyncio.create_task(ask(number)))
-        await asyncio.sleep(Planner.random.expovariate(JOBS_PER_S))
-    await asyncio.gather(*asks)
-    return Planner.broken
+    workers = [Worker("worker-1", record, rig.TROUBLE), Worker("worker-2", record, False)]
+
+    async def book(unique: str) -> None:
+        client = await rig.Gearman.connect(port)
+        await client.submit("book_pallet", unique, f"pallet of {unique}")
+        state, _, result = await client.result()
+        record.add(f"client of {unique} gets {state} {result!r}")
+        client.writer.close()
+
+    tasks = [asyncio.ensure_future(workers[0].serve(port))]
+    await asyncio.sleep(0.3)
+    clients = []
+    for number in range(SLOTS):
+        clients.append(asyncio.ensure_future(book(f"order-{number}")))
+        await asyncio.sleep(0.3)
+    tasks.append(asyncio.ensure_future(workers[1].serve(port)))
+    await asyncio.gather(*clients)
+    await asyncio.gather(*(job for worker in workers for job in worker.jobs))
+    for unique, names in Worker.ended.items():
+        record.add(f"{unique} was run to its end by {', '.join(names)}")
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return Worker.broken
 
 
 rig.main(case, FOLDER)
