--- a/review/9/case.py
+++ b/review/9/case.py
@@ -20,6 +20,8 @@
 JOBS_PER_S = 8.0  # of the class; the two planners of its kind can do 20
 QUIET_S, RUN_S = 4.0, 22.0
 DRAIN_S, BACK_AT_S, NEXT_BACK_S = 1.0, 5.0, 1.5  # of the replacement, which takes 6.5 s
+FALLS_AFTER_S = 0.3  # after it has got too much
+NOTICE_S = 2.0  # after which discovery knows that a planner is gone
 RULES = rig.SETTINGS["rules"]
 WINDOW_S, COLD_S = RULES["overloadFor"] / 1000, RULES["cold"] / 1000
 # The jobs of `book` need the first kind of machine.
@@ -42,7 +44,8 @@
     """Two fast planners and two slow ones, and what each got since it is back."""
 
     def __init__(self, record: rig.Record) -> None:
-        self.broken: dict[str, str] = {}  # the first fall of each planner
+        self.record = record
+        self.broken: dict[str, str] = {}  # the fall of each planner
         self.back_at: dict[str, float] = {}
         self.arrivals: dict[str, list[float]] = {}
         kinds = {"fast-0": "fast", "fast-1": "fast", "slow-0": "slow", "slow-1": "slow"}
@@ -63,10 +66,18 @@
         arrivals = self.arrivals.setdefault(name, [])
         arrivals.append(now)
         count = sum(now - at < WINDOW_S for at in arrivals)
-        if age_s < COLD_S and count > bound(age_s):
-            self.broken.setdefault(
-                name, f"{name}, {age_s:.2f} s old, bears {bound(age_s):.1f} jobs within {WINDOW_S} s"
+        if age_s < COLD_S and count > bound(age_s) and name not in self.broken:
+            self.broken[name] = (
+                f"{name}, {age_s:.2f} s old, got {count} jobs in {WINDOW_S} s, and bears {bound(age_s):.1f}"
             )
+            asyncio.get_running_loop().call_later(FALLS_AFTER_S, self.fall, name)
+
+    def fall(self, name: str) -> None:
+        """A planner that is sent too much falls over and remains down, with all that it has."""
+        self.record.add(f"{name} falls over; it got {self.most(name)} jobs within {WINDOW_S} s")
+        planner = next(planner for planner in self.planners if planner.name == name)
+        planner.crash()
+        asyncio.get_running_loop().call_later(NOTICE_S, self.discovery.tell, planner.entry("gone"))
 
     async def replace(self) -> None:
         """The planners of a kind drain, go, and are back one after the other."""
@@ -105,9 +116,11 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", scheduler.port)
         writer.write(rig.post(name, "book", f"pallet {number}", 15.0, f"key-{number}"))
         status, _ = await rig.answer(reader)
+        statuses[status] = statuses.get(status, 0) + 1
         record.add(f"client gets {status} for {name}")
         writer.close()
 
+    statuses: dict[int, int] = {}
     started, tasks = monotonic(), []
     if rig.TROUBLE:
         asyncio.get_running_loop().call_later(
@@ -117,8 +130,7 @@
         tasks.append(asyncio.create_task(ask(len(tasks))))
         await asyncio.sleep(1 / JOBS_PER_S)
     await asyncio.gather(*tasks)
-    for name in fleet.back_at:
-        record.add(f"{name} got up to {fleet.most(name)} jobs of mean work within {WINDOW_S} s while cold")
+    record.add(f"answers by status: {statuses}")
     return list(fleet.broken.values())
 
 
