--- a/review/10/case.py
+++ b/review/10/case.py
@@ -20,8 +20,10 @@
 TTL_S = 1
 GRACE_S = 1.5 + 0.05  # each time limit is 50 ms longer
 JOBS_PER_S = 10.0
-WORK_S = 0.3
-DRAIN_AT_S, VANISH_AT_S, RUN_S = 2.0, 6.0, 12.0
+WORK_S = 1.0
+DRAIN_AT_S, VANISH_AT_S, END_AT_S, RUN_S = 2.0, 6.0, 10.0, 12.0
+PRINT = {"name": "print", "deadline": 5000.0, "goalTime": 500.0, "gain": 8.0, "repeat": "fragile"}
+SETTINGS = {"areas": ["lima-norte"], "services": [PRINT]}
 
 
 def wire_name(name: str) -> bytes:
@@ -68,6 +70,37 @@
         pairs = [f"zone={planner.zone}", *texts]
         self.records[name, TXT] = [b"".join(bytes([len(pair)]) + pair.encode() for pair in pairs)]
 
+    def remove(self, planner: rig.Planner) -> None:
+        name = f"{planner.name}.{SERVICE}"
+        self.records[SERVICE, PTR].remove(wire_name(name))
+        self.records = {key: records for key, records in self.records.items() if key[0] != name}
+
+
+class Clients:
+    """Each job on a connection of its own."""
+
+    def __init__(self, record: rig.Record, port: int) -> None:
+        self.record, self.port = record, port
+        self.statuses: dict[int, int] = {}
+
+    async def ask(self, number: int) -> None:
+        name = f"c{number:015d}"
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(rig.post(name, "print", f"map {number}", 5.0))
+        status, _ = await rig.answer(reader)
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+        self.record.add(f"client gets {status} for {name}")
+        writer.close()
+
+    async def run(self) -> None:
+        """Send jobs at the rate of the case, and wait for all answers."""
+        started, asks = monotonic(), []
+        while monotonic() - started < RUN_S:
+            asks.append(asyncio.create_task(self.ask(len(asks))))
+            await asyncio.sleep(1 / JOBS_PER_S)
+        await asyncio.gather(*asks)
+        self.record.add(f"answers by status: {self.statuses}")
+
 
 async def case(record: rig.Record, folder: Path, cleanup: rig.Cleanup) -> list[str]:
     async def work(attempt: rig.Attempt) -> str:
@@ -85,33 +118,29 @@
         names.add(planner)
     front = folder / "front.toml"
     front.write_text(f'[dns-sd]\nserver = "127.0.0.1:{port}"\nservice = "{SERVICE}"\n')
-    scheduler = rig.Scheduler(folder, record, rig.config(None, {"areas": ["lima-norte"]}), f"--front {front}")
+    scheduler = rig.Scheduler(folder, record, rig.config(None, SETTINGS), f"--front {front}")
     cleanup.add(scheduler)
     await scheduler.start()
     await scheduler.ready()
     await asyncio.sleep(1.0)
 
-    async def ask(number: int) -> None:
-        name = f"c{number:015d}"
-        reader, writer = await asyncio.open_connection("127.0.0.1", scheduler.port)
-        writer.write(rig.post(name, "quote", f"pallet {number}", 5.0))
-        status, _ = await rig.answer(reader)
-        record.add(f"client gets {status} for {name}")
-        writer.close()
+    def drain() -> None:
+        names.add(planners[0], "state=draining")
+        record.add("p0 begins to drain: its TXT record holds state=draining")
+
+    def vanish() -> None:
+        del names.records[f"p0.{SERVICE}", TXT]
+        record.add("p0's TXT record vanishes; its PTR, SRV and A records stand")
+
+    def end() -> None:
+        names.remove(planners[0])
+        planners[0].crash()
+        record.add("p0 has drained and ends, and its records with it")
 
-    started, asks, drains, vanished = monotonic(), [], False, False
-    while (elapsed := monotonic() - started) < RUN_S:
-        if not drains and elapsed >= DRAIN_AT_S:
-            drains = True
-            names.add(planners[0], "state=draining")
-            record.add("p0 begins to drain: its TXT record holds state=draining")
-        if rig.TROUBLE and not vanished and elapsed >= VANISH_AT_S:
-            vanished = True
-            del names.records[f"p0.{SERVICE}", TXT]
-            record.add("p0's TXT record vanishes; its PTR, SRV and A records stand")
-        asks.append(asyncio.create_task(ask(len(asks))))
-        await asyncio.sleep(1 / JOBS_PER_S)
-    await asyncio.gather(*asks)
+    for at_s, change in ((DRAIN_AT_S, drain), (VANISH_AT_S, vanish), (END_AT_S, end)):
+        if rig.TROUBLE or change is not vanish:
+            asyncio.get_running_loop().call_later(at_s, change)
+    await Clients(record, scheduler.port).run()
     told_at = names.draining_told_at
     late = [attempt for attempt in planners[0].attempts if told_at and attempt.at > told_at + GRACE_S]
     return [f"{attempt.id} was sent to p0 {attempt.at - told_at:.2f} s after it was told" for attempt in late]
