--- a/review/rig.py
+++ b/review/rig.py
@@ -455,8 +455,11 @@
 
     async def run() -> list[str]:
         cleanup = Cleanup()
+        task = asyncio.ensure_future(asyncio.wait_for(case(record, temporary, cleanup), LIMIT_S))
+        for number in (signal.SIGTERM, signal.SIGINT):  # a case that is stopped ends what it started
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
-            return await asyncio.wait_for(case(record, temporary, cleanup), LIMIT_S)
+            return await task
         finally:
             await cleanup.end()
 
@@ -465,7 +468,7 @@
         for line in broken:
             record.add(f"BROKEN: {line}")
         code = BROKEN if broken else HELD
-    except Exception as error:  # the case couldn't run
+    except (Exception, asyncio.CancelledError) as error:  # the case couldn't run
         record.add(f"NOT RUN: {type(error).__name__}: {error}")
     finally:
         for log in sorted(temporary.glob("log*.txt")):
