A Gearman unique id belongs to its function: no client gets another job's result

Cause: the unique id alone was the idempotency key. DeduplicationTable compared class and key, HTTP and gRPC workers the key alone; none of them knows the function in which the client chose the id.

Change: the key of a Gearman job is FUNCTION:UNIQUE-ID, percent-encoded; it names all that tells two jobs apart and nothing else, so a resubmission has the same key at every start and every scheduler. Gearman workers get function and unique id as before. The table compares keys alone. Characters that a header can't carry no longer make two unique ids one.

--- a/pipitshed/frontends/gearman/frontend.py
+++ b/pipitshed/frontends/gearman/frontend.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -11,6 +10,7 @@
 from pipitshed.frontends.gearman.connection import GearmanConnection
 from pipitshed.frontends.gearman.job import GearmanJob
 from pipitshed.frontends.gearman.text_commands import run_command
+from pipitshed.frontends.gearman.unique_ids import idempotency_key, resolve_unique_id
 from pipitshed.protocols.gearman import PacketType, encode_packet
 from pipitshed.proxy.deduplication import DeduplicationTable
 from pipitshed.proxy.forwarder import Forwarder
@@ -18,8 +18,6 @@
 from pipitshed.scheduling.settings import TenantNumbers
 from pipitshed.upstream.gearman import GearmanWorkerClient
 
-_UNIQUE_ID_IS_DATA = b"-"  # as a unique id: derive the id from the job's data
-
 
 @dataclass(frozen=True, slots=True)
 class GearmanFunction:
@@ -74,9 +72,7 @@
         self.closing = False  # no further jobs are accepted
         self._classes = classes  # the numbers of the accepted classes, by name
         self._tenants = tenants
-        self._deduplication = DeduplicationTable(
-            forwarder, worker_client.class_names, loop, self.flow_control.memory
-        )
+        self._deduplication = DeduplicationTable(forwarder, loop, self.flow_control.memory)
         self._max_connections = max_connections
         self._label = label.encode("latin-1", "replace")  # makes handles unique across restarts
         self._handle_count = 0
@@ -137,13 +133,11 @@
         priority: int,
         memory_charge: MemoryCharge,
     ) -> None:
-        """Submit a job unless its client has disconnected; the unique id is the idempotency key."""
+        """Submit a job unless its client has disconnected; function and unique id are its idempotency key."""
         if job.handle not in self.jobs:
             memory_charge.release()
             return
-        unique_id = job.unique_id
-        if unique_id == _UNIQUE_ID_IS_DATA:
-            unique_id = hashlib.sha256(name + b"\0" + body).hexdigest().encode()
+        unique_id = resolve_unique_id(job.unique_id, name, body)
         handle = job.handle.decode("latin-1")
         request = Request(
             handle,
@@ -151,8 +145,9 @@
             parameters.timeout_ms,
             parameters.tenant,
             body,
-            unique_id.decode("latin-1") or handle,
+            idempotency_key(name, unique_id) if unique_id else handle,
             function=name.decode("latin-1"),
+            unique_id=unique_id.decode("latin-1"),
             priority=priority,
             tenant_name=parameters.tenant_name,
             form_version=parameters.form,
--- a/pipitshed/proxy/deduplication.py
+++ b/pipitshed/proxy/deduplication.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from pipitshed.flow_control import NO_CHARGE, MemoryBudget, MemoryCharge
@@ -17,7 +16,6 @@
 from pipitshed.scheduling.events import ProgressKind
 from pipitshed.scheduling.settings import Idempotency
 
-DeduplicationKey = tuple[str, str]  # name of the job class, and idempotency key
 CACHED_RESULTS_FRACTION = 0.1  # of the memory budget; the oldest results beyond it are dropped
 ENTRY_BYTES = 2 * 1024  # taken by an ended request that is remembered, beside its key and result
 
@@ -27,7 +25,7 @@
     """One key's request and its waiting requesters; to the forwarder the entry is the requester."""
 
     table: DeduplicationTable
-    key: DeduplicationKey | None
+    key: str
     requesters: list[Requester] = field(default_factory=list)
     context: RequestContext | None = None
     result: bytes | None = None
@@ -74,8 +72,6 @@
 
     Args:
         forwarder: Runs the requests.
-        class_names: The names by class number: a class that a reload changes gets another number, but a
-            resubmission after it must find the entry of the first submission.
         loop: The event loop.
         memory: Bounds what is remembered of ended requests.
     """
@@ -83,26 +79,23 @@
     def __init__(
         self,
         forwarder: Forwarder,
-        class_names: Sequence[str],
         loop: asyncio.AbstractEventLoop,
         memory: MemoryBudget,
     ) -> None:
         self._memory = memory
         self._forwarder = forwarder
-        self._class_names = class_names
         self._loop = loop
-        self._entries: dict[DeduplicationKey, DeduplicationEntry] = {}
+        self._entries: dict[str, DeduplicationEntry] = {}  # by idempotency key
         self._cached: deque[DeduplicationEntry] = deque()  # entries with a result, the oldest first
         self._cached_bytes = 0
 
     def submit(self, request: Request, requester: Requester) -> DeduplicationEntry:
         """Run the request, join the running one with its key, or answer as the ended one was answered."""
-        class_name = self._class_names[request.job_class]
-        key = (class_name, request.idempotency_key) if request.idempotency_key else None
-        entry = self._entries.get(key) if key is not None else None
+        key = request.idempotency_key
+        entry = self._entries.get(key) if key else None
         if entry is None:
             entry = DeduplicationEntry(self, key, [requester])
-            if key is not None:
+            if key:
                 self._entries[key] = entry
             entry.context = self._forwarder.submit(request, entry)
             return entry
@@ -143,21 +136,21 @@
     def _must_not_run_again(self, entry: DeduplicationEntry) -> bool:
         """Whether the job may have run, in a class that forbids a second run."""
         context = entry.context
-        if context is None or entry.key is None or not context.may_have_run:
+        if context is None or not entry.key or not context.may_have_run:
             return False
         job_class = self._forwarder.settings.classes[context.request.job_class]
         return job_class.idempotency is not Idempotency.IDEMPOTENT
 
     def finished(self, entry: DeduplicationEntry) -> None:
         """Keep an entry whose job must not run again until its window ends; remove any other."""
-        if entry.key is None or entry.context is None:
+        if not entry.key or entry.context is None:
             return
         if not self._must_not_run_again(entry):
             self._entries.pop(entry.key, None)
             entry.result = None  # the entry and its request refer to each other, so it would be kept for long
             return
         self._loop.call_at(max(self._window_end(entry.context), self._loop.time()), self._window_ended, entry)
-        entry.memory_charge = self._memory.charge(ENTRY_BYTES + len(entry.key[1]) + len(entry.result or b""))
+        entry.memory_charge = self._memory.charge(ENTRY_BYTES + len(entry.key) + len(entry.result or b""))
         if entry.result is not None:
             self._cached.append(entry)
             self._cached_bytes += len(entry.result)
@@ -174,7 +167,7 @@
         return first_run_at + window_ms / 1000
 
     def _window_ended(self, entry: DeduplicationEntry) -> None:
-        if entry.key is not None and self._entries.get(entry.key) is entry:
+        if self._entries.get(entry.key) is entry:
             del self._entries[entry.key]
         if entry in self._cached:
             self._cached.remove(entry)
--- a/pipitshed/proxy/request.py
+++ b/pipitshed/proxy/request.py
@@ -25,11 +25,12 @@
     client_timeout_ms: float  # how long the client waits after sending the request
     tenant: int
     body: bytes = b""
-    idempotency_key: str = ""  # the same for all retries of one request
+    idempotency_key: str = ""  # the same for all retries of one request, and for no other request
     affinity_key: int = 0
     method: str = "POST"
     target: str = "/api"
     function: str = ""  # the Gearman function; empty for other protocols
+    unique_id: str = ""  # the Gearman id of the job within its function; empty for other protocols
     priority: int = 0  # higher values first among attempts that wait for one worker
     slots: float = 1.0
     memory: float = 0.0
--- a/pipitshed/testbed/accounts.py
+++ b/pipitshed/testbed/accounts.py
@@ -8,7 +8,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 
-from pipitshed.testbed.clients import ClientRequest
+from pipitshed.testbed.clients import ClientRequest, expected_key
 from pipitshed.testbed.fleet.standins import Member
 from pipitshed.testbed.planner import DEDUP_WINDOW_S, Run
 
@@ -56,8 +56,7 @@
                     f"{run.planner} {run.arrived:.3f}..{run.ended:.3f} {run.outcome}" for run in attempts
                 )
             )
-        # Gearman's unique id is the key of every job.
-        key = f"k-{request.token}" if request.kind.startswith("gearman") else request.key
+        key = expected_key(request)
         changed = [
             f"{run.planner}: {run.key!r} {run.tenant!r} {run.remaining:.3f}"
             for run in attempts
--- a/pipitshed/testbed/clients.py
+++ b/pipitshed/testbed/clients.py
@@ -50,6 +50,13 @@
     slack: float = SLACK_S  # s after the timeout for which the client still reads
 
 
+def expected_key(request: ClientRequest) -> str:
+    """The idempotency key under which planners get a request; every Gearman job has one."""
+    if not request.kind.startswith("gearman"):
+        return request.key
+    return f"{_FUNCTIONS[request.kind, request.job_class].decode()}:k-{request.token}"
+
+
 def draw_request(
     rng: random.Random, token: str, mix: dict[str, float], cancel: float, unfit: float, book: float
 ) -> ClientRequest:
@@ -59,7 +66,7 @@
     tenant = {"gearman-v0": "selva-trans", "gearman-v1": "sur-express"}.get(kind) or rng.choices(
         list(TENANTS), list(TENANTS.values())
     )[0]
-    # Every Gearman job has its unique id as key; over HTTP only `book` requests have one.
+    # The key over HTTP, and the unique id of a Gearman job; over HTTP only `book` requests have one.
     key = f"k-{token}" if job_class == "book" else ""
     timeout = 5.0 if job_class == "quote" else 15.0
     return ClientRequest(
--- a/pipitshed/upstream/gearman.py
+++ b/pipitshed/upstream/gearman.py
@@ -179,7 +179,7 @@
         request = attempt.context.request
         function = self.client.function(attempt, self) or ""
         handle = self.client.new_handle()
-        unique_id = (request.idempotency_key or request.id).encode("latin-1", "replace")
+        unique_id = (request.unique_id or request.idempotency_key or request.id).encode("latin-1", "replace")
         extra_arguments = {
             PacketType.JOB_ASSIGN: (),
             PacketType.JOB_ASSIGN_UNIQ: (unique_id,),
