A job given up at a Gearman worker with other jobs is outstanding until the connection ends

Change: a worker client says whether an attempt can be ended without ending others (defer_abort). If not, the attempt stays in flight, the decisions are told (AttemptEndDeferred), and the job gets no other attempt unless the settings allow parallel ones. It ends when the worker goes on and serves it, when the others have ended and the connection is closed, when the worker disconnects, or at its deadline, which is answered as before. CAN_DO_TIMEOUT took the same path and is mended with it.

--- a/pipitshed/proxy/attempt_runner.py
+++ b/pipitshed/proxy/attempt_runner.py
@@ -17,6 +17,7 @@
 from pipitshed.scheduling.actions import StartAttempt
 from pipitshed.scheduling.events import (
     NOT_EXECUTED_OUTCOMES,
+    AttemptEndDeferred,
     AttemptFinished,
     AttemptProgressed,
     Outcome,
@@ -77,7 +78,7 @@
             return
         if action.write_within_ms > 0:
             attempt.write_deadline_at = now + action.write_within_ms / 1000
-        attempt.timeout_timer = self._loop.call_at(attempt.deadline_at, self.timed_out, attempt)
+        attempt.timeout_timer = self._loop.call_at(attempt.deadline_at, self._deadline_passed, attempt)
         endpoint.client.start(attempt)
 
     def _supersede(self, action: StartAttempt, context: RequestContext | None) -> None:
@@ -114,16 +115,35 @@
         attempt.fully_sent = True
         self.sent_counts[attempt.context.request.job_class] += 1
 
-    def timed_out(self, attempt: Attempt) -> None:
+    def _deadline_passed(self, attempt: Attempt) -> None:
         """Stop the attempt at its deadline, unless it has ended."""
         if not attempt.finished:
             self.stop(attempt, Outcome.TIMEOUT)
 
+    def timed_out(self, attempt: Attempt) -> None:
+        """Stop an attempt whose worker has a shorter time limit for the job, unless it has ended."""
+        if not attempt.finished:
+            self._stop_or_defer(attempt, Outcome.TIMEOUT)
+
     def cancel(self, job_id: int, attempt_index: int) -> None:
         """Stop an attempt that the dispatcher has cancelled."""
         context = self._requests.find(job_id)
         if context is not None and not context.attempts[attempt_index].finished:
-            self.stop(context.attempts[attempt_index], Outcome.CANCELLED)
+            self._stop_or_defer(context.attempts[attempt_index], Outcome.CANCELLED)
+
+    def _stop_or_defer(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Stop an attempt, or let it be outstanding until it can be stopped without ending others.
+
+        A request that is answered gets no further attempt, so its attempt can be forgotten at once.
+        """
+        context = attempt.context
+        if context.answered or not attempt.endpoint.client.defer_abort(attempt, outcome):
+            self.stop(attempt, outcome)
+            return
+        self._counters["attempt end deferred"] += 1
+        self._dispatch_loop.post(
+            AttemptEndDeferred(context.job_id, attempt.index, attempt.endpoint.id, outcome)
+        )
 
     def stop(self, attempt: Attempt, outcome: Outcome) -> None:
         """Stop an attempt that has not ended.
--- a/pipitshed/proxy/forwarder.py
+++ b/pipitshed/proxy/forwarder.py
@@ -205,7 +205,7 @@
         self.executed.attempt_sent(attempt, self.settings.classes[attempt.context.request.job_class])
 
     def attempt_timed_out(self, attempt: Attempt) -> None:
-        """Stop the attempt at its deadline, unless it has ended."""
+        """Stop an attempt whose worker has a shorter time limit for the job, unless it has ended."""
         self._attempts.timed_out(attempt)
 
     def attempt_progressed(self, attempt: Attempt, kind: ProgressKind, done_fraction: float = 0.0) -> None:
--- a/pipitshed/proxy/published_names.py
+++ b/pipitshed/proxy/published_names.py
@@ -52,6 +52,7 @@
             "pushback_ms": "pushback",
         },
     ),
+    events.AttemptEndDeferred: PublishedName("EndDeferred", {"job_id": "job", "attempt_index": "attempt"}),
     events.JobWithdrawn: PublishedName("Withdrawn", {"job_id": "job"}),
     events.TimerFired: PublishedName("TimerFired", {}),
     events.ProbeFinished: PublishedName("Probed", {"elapsed_ms": "elapsed", "load_report": "report"}),
--- a/pipitshed/proxy/worker_client.py
+++ b/pipitshed/proxy/worker_client.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
-from pipitshed.scheduling.events import WorkerId
+from pipitshed.scheduling.events import Outcome, WorkerId
 
 if TYPE_CHECKING:
     from pipitshed.proxy.attempt import Attempt
@@ -21,6 +21,14 @@
         """Stop an attempt; return whether it may have run, that is, was written or assigned to a worker."""
         ...
 
+    def defer_abort(self, attempt: Attempt, outcome: Outcome) -> bool:
+        """Report whether an attempt stays outstanding, as stopping it now would end other attempts.
+
+        If so, no further attempt starts at its worker, and it is finished with this outcome once the others
+        have ended, unless it goes on before.
+        """
+        ...
+
     def probe(self, endpoint: Endpoint) -> None:
         """Check whether the endpoint's worker answers; the outcome goes to `probe_finished`."""
 
--- a/pipitshed/scheduling/dispatcher.py
+++ b/pipitshed/scheduling/dispatcher.py
@@ -31,6 +31,7 @@
 )
 from pipitshed.scheduling.endpoint_list import EndpointList
 from pipitshed.scheduling.events import (
+    AttemptEndDeferred,
     AttemptFinished,
     AttemptProgressed,
     ConnectionLost,
@@ -39,6 +40,7 @@
     Event,
     JobSubmitted,
     JobWithdrawn,
+    Outcome,
     ProgressKind,
     ResponseStarted,
     TimerFired,
@@ -80,6 +82,7 @@
             JobSubmitted: self._on_job_submitted,
             TimerFired: self._on_timer_fired,
             AttemptProgressed: self._on_attempt_progressed,
+            AttemptEndDeferred: self._on_attempt_end_deferred,
             EndpointsUpdated: self._on_endpoints_updated,
             ConnectionLost: self._on_connection_lost,
             DiscoveryMoved: self._on_discovery_moved,
@@ -168,7 +171,7 @@
         """Do what is due for a job: check its attempts, start one, give the job up, or set a timer."""
         if job.finished or job.streaming:
             return
-        in_flight = job.attempts_in_flight()
+        in_flight = self._attempts_to_wait_for(job)
         if in_flight:
             self._check_attempts(job, in_flight)
         elif self.now_ms >= retry_policy.last_attempt_ms(job, self.settings.tick_ms):
@@ -184,7 +187,7 @@
         options = retry_policy.retry_options(job, limits, self.settings.tick_ms, self.now_ms)
         reason = retry_policy.reason_for_no_attempt(job, options, limits, self.window, self.now_ms)
         if reason is not None:
-            if not job.attempts_in_flight():
+            if not self._attempts_to_wait_for(job):
                 self._give_up(job, reason)
             return
         worker = self.selector.select(job, options.scope, self.now_ms)
@@ -231,6 +234,9 @@
             return None
         return job, job.attempts[attempt_index]
 
+    def _attempts_to_wait_for(self, job: Job) -> list[Attempt]:
+        return job.attempts_to_wait_for(self.settings.limits.parallel_attempts)
+
     def _start_timeout_ms(self, job: Job) -> float:
         return attempt_watchdog.start_timeout_ms(job, self.settings, self.window, self.now_ms)
 
@@ -290,6 +296,30 @@
             self._advance(job)
         elif event.kind == ProgressKind.PROGRESS:
             self.recorder.progressed(job, attempt, event.done_fraction, self.now_ms)
+            if attempt.end_deferred:
+                attempt.end_deferred = attempt.cancelled = False  # it runs after all
+                self._advance(job)
+
+    def _on_attempt_end_deferred(self, event: AttemptEndDeferred) -> None:
+        """Start no other attempt while this one is outstanding; give the job up if it gets none afterwards.
+
+        An attempt that stalled may still go on, so its job is not given up.
+        """
+        job_and_attempt = self._find_attempt(event.job_id, event.attempt_index)
+        if job_and_attempt is None or not job_and_attempt[1].in_flight or job_and_attempt[0].finished:
+            return
+        job, attempt = job_and_attempt
+        attempt.end_deferred = True
+        limits = self.settings.limits
+        if limits.parallel_attempts:
+            self._back_off(job)
+        elif event.outcome is Outcome.TIMEOUT:
+            options = retry_policy.retry_options(
+                job, limits, self.settings.tick_ms, self.now_ms, once_idle=True
+            )
+            reason = retry_policy.reason_for_no_attempt(job, options, limits, self.window, self.now_ms)
+            if reason is not None:
+                self._give_up(job, reason)
 
     def _on_response_started(self, event: ResponseStarted) -> None:
         job = self.jobs.get(event.job_id)
@@ -313,7 +343,7 @@
         elif job.finished:
             if not job.attempts_in_flight():
                 self.jobs.pop(job.id, None)
-        elif not job.attempts_in_flight():
+        elif not self._attempts_to_wait_for(job):
             self.waiting[job.id] = job
             self._back_off(job)
             if event.pushback_ms is not None:
--- a/pipitshed/scheduling/events.py
+++ b/pipitshed/scheduling/events.py
@@ -151,6 +151,19 @@
     pushback_ms: float | None = None  # requested wait before a retry; negative: no retry
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptEndDeferred:
+    """An attempt that was cancelled or has timed out stays in flight, as ending it now would end other jobs.
+
+    Its AttemptFinished follows once the others have ended, with `outcome` unless the job ends before.
+    """
+
+    job_id: int
+    attempt_index: int
+    worker: WorkerId
+    outcome: Outcome
+
+
 @dataclass(frozen=True, slots=True)
 class JobWithdrawn:
     """The client no longer waits for the job, which gets no final answer."""
@@ -182,6 +195,7 @@
     | AttemptProgressed
     | ProbeFinished
     | AttemptFinished
+    | AttemptEndDeferred
     | JobWithdrawn
     | TimerFired
     | PeerMessageReceived
--- a/pipitshed/scheduling/job_state.py
+++ b/pipitshed/scheduling/job_state.py
@@ -25,6 +25,7 @@
         "started",
         "capacity_recorded",
         "cancelled",
+        "end_deferred",
         "not_executed",
     )
 
@@ -38,6 +39,7 @@
         self.started = False
         self.capacity_recorded = False  # whether the attempt window already counts it
         self.cancelled = False
+        self.end_deferred = False  # cancelled or timed out, and still outstanding at its worker
         self.not_executed = False  # the outcome proves that the worker never ran the job
 
 
@@ -93,6 +95,18 @@
         """The attempts that have no outcome yet."""
         return [attempt for attempt in self.attempts if attempt.in_flight]
 
+    def attempts_to_wait_for(self, parallel_attempts: bool) -> list[Attempt]:
+        """The attempts whose end the job awaits before it gets another.
+
+        One whose end is deferred is still outstanding, so only where attempts may run in parallel is it not
+        awaited.
+        """
+        return [
+            attempt
+            for attempt in self.attempts
+            if attempt.in_flight and not (parallel_attempts and attempt.end_deferred)
+        ]
+
     def first_possible_execution(self) -> Attempt | None:
         """The first attempt that may have run."""
         for attempt in self.attempts:
--- a/pipitshed/scheduling/retry_policy.py
+++ b/pipitshed/scheduling/retry_policy.py
@@ -37,12 +37,18 @@
 _MAY_HAVE_RUN = RetryOptions(False, None, False)
 
 
-def retry_options(job: Job, limits: Limits, tick_ms: float, now_ms: float) -> RetryOptions:
-    """Whether the job may get an attempt now, which workers it may go to, and whether it may be rejected."""
+def retry_options(
+    job: Job, limits: Limits, tick_ms: float, now_ms: float, once_idle: bool = False
+) -> RetryOptions:
+    """Whether the job may get an attempt now, which workers it may go to, and whether it may be rejected.
+
+    With `once_idle`, the attempts in flight are taken to have ended.
+    """
     job_class = job.job_class
     first = job.first_possible_execution()
     may_attempt = len(job.attempts) < limits.max_attempts and not job.finished and not job.streaming
-    if not limits.parallel_attempts and any(attempt.in_flight for attempt in job.attempts):
+    one_at_a_time = not limits.parallel_attempts and not once_idle
+    if one_at_a_time and any(attempt.in_flight for attempt in job.attempts):
         may_attempt = False
     if first is None or job_class.idempotency is Idempotency.IDEMPOTENT:
         return _ATTEMPT_ANYWHERE if may_attempt else _NO_ATTEMPT
--- a/pipitshed/upstream/gearman.py
+++ b/pipitshed/upstream/gearman.py
@@ -104,6 +104,7 @@
         self.is_listed = False
         self.is_removed = False
         self._is_retiring = False  # no new jobs; closed once its last job has ended
+        self._deferred: dict[bytes, Outcome] = {}  # by handle: jobs that end once only such jobs are left
         self._partial_results: dict[bytes, _PartialResult] = {}  # by handle
         self._abilities_charge = client.memory.charge()
         self._is_asleep = False
@@ -203,6 +204,8 @@
         if kind is PacketType.WORK_STATUS:
             done, total = (_parse_count(argument) for argument in arguments[1:])
             share = min(1.0, done / total) if total else 0.0
+            if self._deferred.get(handle) is Outcome.CANCELLED:
+                del self._deferred[handle]  # the job goes on
             forwarder.attempt_progressed(attempt, ProgressKind.PROGRESS, share)
             return
         if kind is PacketType.WORK_DATA:
@@ -211,7 +214,7 @@
         if kind is PacketType.WORK_WARNING:
             return
         # A WORK_FAIL may follow a WORK_EXCEPTION; it is ignored, as the job has ended by then.
-        del self.running[handle]
+        self._forget(handle)
         if self._is_retiring:
             self._close_if_idle()
         result = self._take_partial_result(handle)
@@ -238,23 +241,45 @@
         partial.memory_charge.release()
         return bytes(partial.data)
 
-    def stop(self, handle: bytes) -> None:
-        """Abandon an assigned job, which the protocol has no way to cancel.
+    def defer_stop(self, handle: bytes, outcome: Outcome) -> bool:
+        """End a job with this outcome once no other job runs here; False if none does now.
 
-        The connection is closed, which the worker can detect. Its other jobs end first: their classes may
-        forbid a second run.
+        The protocol has no way to cancel an assigned job: only the end of the connection ends it, which the
+        worker can detect. The worker's other jobs end first, as their classes may forbid a second run.
         """
-        del self.running[handle]
+        if not any(other != handle and other not in self._deferred for other in self.running):
+            return False
+        self._deferred.setdefault(handle, outcome)
+        self._retire()
+        return True
+
+    def stop(self, handle: bytes) -> None:
+        """Abandon an assigned job, and close the connection once no other job runs on it."""
+        self._forget(handle)
         self._take_partial_result(handle)
+        self._retire()
+        self._close_if_idle()
+
+    def _forget(self, handle: bytes) -> None:
+        del self.running[handle]
+        self._deferred.pop(handle, None)
+
+    def _retire(self) -> None:
+        """Take no new jobs."""
         self._is_retiring = True
         if self.running:
             self._clear_abilities()
             self.client.list_worker(self)
-        self._close_if_idle()
 
     def _close_if_idle(self) -> None:
-        if not self.running:
-            self.connection.abort()
+        """Close the connection if only jobs remain whose end was deferred, and finish these."""
+        if any(handle not in self._deferred for handle in self.running):
+            return
+        deferred, self._deferred = self._deferred, {}
+        self.connection.abort()
+        for handle, outcome in deferred.items():
+            self._take_partial_result(handle)
+            self.client.forwarder.attempt_finished(self.running.pop(handle), outcome)
 
     def lost(self) -> None:
         """The connection is closed: assigned attempts may have run, waiting ones have not."""
@@ -266,7 +291,7 @@
             self._take_partial_result(handle)
         self.client.list_worker(self)
         running, waiting = list(self.running.values()), self.waiting
-        self.running, self.waiting = {}, []
+        self.running, self.waiting, self._deferred = {}, [], {}
         for attempt in running:
             self.client.forwarder.attempt_finished(attempt, Outcome.RESET)
         for attempt in waiting:
@@ -429,6 +454,12 @@
             return True
         return False
 
+    def defer_abort(self, attempt: Attempt, outcome: Outcome) -> bool:
+        """Report whether an assigned attempt stays outstanding until its worker's other jobs have ended."""
+        worker: GearmanWorker = attempt.endpoint.address
+        handle = attempt.transport_state
+        return handle in worker.running and worker.defer_stop(handle, outcome)
+
     def probe(self, endpoint: Endpoint) -> None:
         """Report whether a worker's connection is up."""
         worker: GearmanWorker = endpoint.address
--- a/pipitshed/upstream/grpc/client.py
+++ b/pipitshed/upstream/grpc/client.py
@@ -15,6 +15,7 @@
 from pipitshed.proxy.attempt import Attempt
 from pipitshed.proxy.forwarder import Forwarder
 from pipitshed.proxy.worker_client import Endpoint
+from pipitshed.scheduling.events import Outcome
 from pipitshed.scheduling.settings import Limits
 from pipitshed.upstream.grpc.connection import GrpcConnection
 from pipitshed.upstream.grpc.stream import GrpcStream
@@ -81,6 +82,10 @@
             state.forget(attempt)
         return False
 
+    def defer_abort(self, _attempt: Attempt, _outcome: Outcome) -> bool:
+        """Never: a stream ends without its connection."""
+        return False
+
     def probe(self, endpoint: Endpoint) -> None:
         """Check with a PING that a worker responds; interface 2 reports no load."""
         self._connection(endpoint).probe()
--- a/pipitshed/upstream/http/client.py
+++ b/pipitshed/upstream/http/client.py
@@ -71,6 +71,10 @@
         connection.close()
         return is_sent
 
+    def defer_abort(self, _attempt: Attempt, _outcome: Outcome) -> bool:
+        """Never: a connection carries one attempt."""
+        return False
+
     def probe(self, endpoint: Endpoint) -> None:
         """Request a worker's load report."""
         self._spawn(self._probe(endpoint))
