Workers in slow start have a budget: the first one back does not get the whole backlog

Cause: a job that a worker in slow start turned down drew again after 20 ms where no warm worker was left in the pool, until it was accepted. The chance of each try bounded nothing, and nothing counted what such a worker had been sent.

Change: a token bucket for each worker in slow start, filled at this dispatcher's part of what the worker can do by then (Little's law on what warm workers of its kind bore). Jobs that find only such workers wait for tokens, the earliest deadline first; retries too, which were never sent there before. Jobs that have waited go to a warm worker only while it has room. Without tipMultiple in the settings nothing changes; its default is 0 now, for no budget (1 before, and read nowhere).

--- a/benchmarks/cold_ramp.py
+++ b/benchmarks/cold_ramp.py
@@ -29,6 +29,7 @@
     AttemptFinished,
     AttemptProgressed,
     EndpointEntry,
+    EndpointState,
     EndpointsUpdated,
     Event,
     JobSubmitted,
@@ -59,6 +60,11 @@
     zones: int = 1
     first_zone_factor: float = 1.0  # requests per scheduler of the first zone, relative to other zones
     reports_starts: bool = True  # planners report the start of each job
+    deadline_ms: float = 5000.0  # of each job
+    slots: int = 4  # of each planner
+    mean_work_ms: float = 300.0  # of a job that is not heavy, at speed 1
+    restart_interval_ms: float = 0.0  # between the starts of two planners
+    absence_told: bool = False  # the list lacks the planners that are down
     guarantees: Guarantees = field(
         default_factory=lambda: Guarantees(
             answer_slack_ms=8.0,
@@ -89,7 +95,7 @@
 class Planner:
     """A planner with slots, a bounded queue, and a speed that rises during slow start."""
 
-    SLOTS, QUEUE = 4, 8
+    QUEUE = 8
 
     def __init__(self, simulation: Simulation, number: int) -> None:
         self.simulation, self.number = simulation, number
@@ -124,7 +130,7 @@
                 attempt.process not in simulation.uninformed,
             )
         )
-        if len(self.running) < self.SLOTS:
+        if len(self.running) < self.simulation.scenario.slots:
             self.start(attempt)
         elif len(self.waiting) < self.QUEUE:
             self.waiting.append(attempt)
@@ -149,7 +155,7 @@
         if self.running.get(attempt.job.number) is attempt:
             del self.running[attempt.job.number]
             self.simulation.finish(attempt, self, Outcome.OK)
-            if self.waiting and len(self.running) < self.SLOTS:
+            if self.waiting and len(self.running) < self.simulation.scenario.slots:
                 self.start(self.waiting.popleft())
 
     def cancel_waiting(self, attempt: Attempt) -> None:
@@ -177,7 +183,7 @@
         self.scenario, self.rng, self.now_ms = scenario, random.Random(seed), 1_000_000.0
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.event_number = self.last_job_number = 0
-        self.mean_work_ms = 300.0 * (1 + 7 * scenario.heavy_fraction)
+        self.mean_work_ms = scenario.mean_work_ms * (1 + 7 * scenario.heavy_fraction)
         self.planners = [Planner(self, number) for number in range(scenario.planners)]
         self.by_id = {planner.id: planner for planner in self.planners}
         self.open_attempts: dict[tuple[int, int], tuple[Attempt, Planner]] = {}
@@ -192,7 +198,7 @@
             classes=(
                 JobClass(
                     latency_objective_ms=800.0,
-                    deadline_ms=5000.0,
+                    deadline_ms=scenario.deadline_ms,
                     latency_objective_per_work=1.75,
                     idempotency=Idempotency.IDEMPOTENT,
                     idempotency_window_ms=5000.0,
@@ -211,10 +217,21 @@
         self.handle_events(number, dispatcher, [EndpointsUpdated(UpdateKind.CACHED, 1, self.entries())])
         return dispatcher
 
+    def publish(self) -> None:
+        """Tell the list to all dispatchers that are informed."""
+        for number in range(self.scenario.process_count):
+            if number not in self.uninformed:
+                self.deliver(number, EndpointsUpdated(UpdateKind.DELTA, 2, self.entries()))
+
     def entries(self) -> tuple[EndpointEntry, ...]:
+        absence_told = self.scenario.absence_told
         return tuple(
             EndpointEntry(
-                planner.id, zone=planner.zone, weight=1.0, started_at_ms=max(0.0, planner.started_at_ms)
+                planner.id,
+                zone=planner.zone,
+                weight=1.0,
+                started_at_ms=max(0.0, planner.started_at_ms),
+                state=EndpointState.READY if planner.is_up or not absence_told else EndpointState.REMOVED,
             )
             for planner in self.planners
         )
@@ -283,16 +300,18 @@
             for number in range(scenario.process_count)
         ]
         number = self.rng.choices(range(scenario.process_count), weights)[0]
-        self.deliver(number, JobSubmitted(job.number, 5000.0))
+        self.deliver(number, JobSubmitted(job.number, scenario.deadline_ms))
 
     def arrive(self) -> None:
         scenario = self.scenario
-        arrivals_per_ms = scenario.load_fraction * scenario.planners * Planner.SLOTS / self.mean_work_ms
+        arrivals_per_ms = scenario.load_fraction * scenario.planners * scenario.slots / self.mean_work_ms
         if self.now_ms >= 1_000_000.0 + WARM_UP_MS:
             arrivals_per_ms *= scenario.burst_factor
         self.schedule(self.rng.expovariate(arrivals_per_ms), self.arrive)
         self.submit(
-            self.rng.expovariate(1 / 300.0) * (8 if self.rng.random() < scenario.heavy_fraction else 1), 0
+            self.rng.expovariate(1 / scenario.mean_work_ms)
+            * (8 if self.rng.random() < scenario.heavy_fraction else 1),
+            0,
         )
 
     def run(self, end_ms: float) -> None:
@@ -310,8 +329,11 @@
         if scenario.absence_s:
             for planner in restarted:
                 planner.leave()
+            if scenario.absence_told:
+                self.publish()
         self.run(start_ms + WARM_UP_MS)
-        for planner in restarted:
+        at_once = 1 if scenario.restart_interval_ms else len(restarted)
+        for planner in restarted[:at_once]:
             planner.restart()
         self.uninformed = {
             number
@@ -323,6 +345,10 @@
                 self.dispatchers[number] = self.create_dispatcher(number)
             elif number not in self.uninformed:
                 self.deliver(number, EndpointsUpdated(UpdateKind.DELTA, 2, self.entries()))
+        for planner in restarted[at_once:]:
+            self.run(self.now_ms + scenario.restart_interval_ms)
+            planner.restart()
+            self.publish()
         self.run(start_ms + WARM_UP_MS + OBSERVED_MS)
         return restarted
 
@@ -333,7 +359,7 @@
     Counts only windows in which more than two thirds of the load came from schedulers that were informed of
     the restart."""
     largest_ratio, over_count, window = 0.0, 0, deque[tuple[float, float, bool]]()
-    capacity_per_ms = Planner.SLOTS / planner.simulation.mean_work_ms
+    capacity_per_ms = planner.simulation.scenario.slots / planner.simulation.mean_work_ms
     for arrived_at_ms, work, informed in planner.arrivals:
         if arrived_at_ms > planner.started_at_ms + guarantees.slow_start_ms:
             break
@@ -355,6 +381,15 @@
     return largest_ratio, over_count
 
 
+# All planners are down for a while, and jobs wait for them.
+ALL_RETURN: dict[str, Any] = {
+    "cold_fraction": 1.0,
+    "absence_s": 6.0,
+    "absence_told": True,
+    "deadline_ms": 15_000.0,
+    "planners": 2,
+}
+
 SCENARIOS: dict[str, dict[str, Any]] = {
     "plain": {},
     "most are cold": {"cold_fraction": 0.75},
@@ -367,6 +402,13 @@
     "a zone returns, uneven": {"absence_s": 6.0, "zones": 4, "cold_fraction": 0.25, "first_zone_factor": 4.0},
     "no starts told": {"reports_starts": False},
     "a zone returns, no starts told": {"absence_s": 6.0, "zones": 2, "reports_starts": False},
+    "a whole kind returns": ALL_RETURN,
+    "a whole kind returns, one by one": ALL_RETURN | {"restart_interval_ms": 1500.0},
+    "a whole kind returns, processes restarted": ALL_RETURN | {"restarted_fraction": 0.5},
+    "a whole kind returns, one slot": ALL_RETURN | {"slots": 1, "mean_work_ms": 100.0},
+    "a whole kind returns, many slots": ALL_RETURN | {"slots": 32},
+    "a whole kind returns, no starts told": ALL_RETURN | {"reports_starts": False},
+    "most of a kind returns": ALL_RETURN | {"cold_fraction": 0.7, "planners": 3},
     "all at once": {
         "cold_fraction": 0.6,
         "burst_factor": 1.6,
--- a/pipitshed/config/settings_parser.py
+++ b/pipitshed/config/settings_parser.py
@@ -230,7 +230,7 @@
         drain_grace_ms=table.number("drainGrace", 0.0),
         slow_start_ms=table.number("cold", 0.0),
         initial_capacity_fraction=table.number("coldFrom", 1.0, 0.0, 1.0),
-        overload_multiple=table.number("tipMultiple", 1.0),
+        overload_multiple=table.number("tipMultiple", 0.0),
         overload_window_ms=table.number("overloadFor", 1000.0),
         poll_deadline_ms=table.number("askWithin", 10000.0),
     )
--- a/pipitshed/scheduling/attempt_recorder.py
+++ b/pipitshed/scheduling/attempt_recorder.py
@@ -4,7 +4,7 @@
 
 import random
 
-from pipitshed.scheduling import outlier_ejection
+from pipitshed.scheduling import outlier_ejection, slow_start
 from pipitshed.scheduling.capacity_estimate import LoadEstimate, ServiceStatistics, missed_objective
 from pipitshed.scheduling.endpoint_list import EndpointList
 from pipitshed.scheduling.events import NOT_EXECUTED_OUTCOMES, AttemptFinished, Outcome
@@ -12,12 +12,13 @@
 from pipitshed.scheduling.recent_counts import AttemptWindow
 from pipitshed.scheduling.settings import Settings
 from pipitshed.scheduling.worker_state import Worker
+from pipitshed.scheduling.worker_throughput import WorkerThroughput
 
 
 class AttemptRecorder:
     """Updates the estimates and the workers at each step of an attempt; it decides nothing."""
 
-    __slots__ = ("settings", "_endpoints", "_window", "_load", "_statistics", "_rng")
+    __slots__ = ("settings", "_endpoints", "_window", "_load", "_statistics", "_throughput", "_rng")
 
     def __init__(
         self,
@@ -26,6 +27,7 @@
         window: AttemptWindow,
         load: LoadEstimate,
         statistics: ServiceStatistics,
+        throughput: WorkerThroughput,
         rng: random.Random,
     ) -> None:
         self.settings = settings
@@ -33,6 +35,7 @@
         self._window = window
         self._load = load
         self._statistics = statistics
+        self._throughput = throughput
         self._rng = rng
 
     def dispatched(self, job: Job, attempt: Attempt, now_ms: float) -> None:
@@ -46,6 +49,7 @@
         if self.settings.workers_report_start:
             worker.unstarted_count += 1
             return
+        self._record_running(job, worker, now_ms)
         # Starts are not reported, so the attempt counts as running from now on. With load reports, the slots
         # that this dispatcher's jobs use show a lack of capacity early; without them only late answers do.
         attempt.started = True
@@ -60,6 +64,7 @@
         attempt.started = True
         attempt.started_at_ms = attempt.last_progress_at_ms = now_ms
         worker.unstarted_count = max(0, worker.unstarted_count - 1)
+        self._record_running(job, worker, now_ms)
         worker.reserved_slots += job.slots
         if not attempt.capacity_recorded:
             self._record_capacity(worker, now_ms)
@@ -118,12 +123,27 @@
     def _record_served(self, job: Job, attempt: Attempt, elapsed_ms: float, now_ms: float) -> None:
         service_time_ms = now_ms - attempt.started_at_ms if attempt.started else elapsed_ms
         self._statistics.record_served(job, service_time_ms, self.settings.weight_by_work)
+        self._record_throughput(attempt, service_time_ms, now_ms)
         self._record_speed(job, attempt, 1.0, now_ms)
         outlier_ejection.decrement_error_count(attempt.worker)
         if not attempt.capacity_recorded:
             late = missed_objective(job, service_time_ms)
             self._record_capacity(attempt.worker, now_ms, late and not self.settings.workers_report_start)
 
+    def _record_running(self, job: Job, worker: Worker, now_ms: float) -> None:
+        """Record what a warm worker runs; a backlog that it is sent does not show what it can run."""
+        if job.latest_slow_start_ms is None and not slow_start.is_warming_up(
+            worker, self.settings.guarantees.slow_start_ms, now_ms
+        ):
+            self._throughput.record_started(worker.kind, worker.running_count)
+
+    def _record_throughput(self, attempt: Attempt, service_time_ms: float, now_ms: float) -> None:
+        """Record the service time that the job would have had at its worker's full capacity."""
+        worker, guarantees = attempt.worker, self.settings.guarantees
+        if slow_start.is_warming_up(worker, guarantees.slow_start_ms, now_ms):
+            service_time_ms *= slow_start.capacity_fraction(worker, guarantees, attempt.dispatched_at_ms)
+        self._throughput.record_served(worker.kind, service_time_ms)
+
     def _record_speed(self, job: Job, attempt: Attempt, done_fraction: float, now_ms: float) -> None:
         if self.settings.workers_report_start:
             self._statistics.record_speed(job, attempt, done_fraction, now_ms)
--- a/pipitshed/scheduling/dispatcher.py
+++ b/pipitshed/scheduling/dispatcher.py
@@ -29,7 +29,8 @@
     ServiceStatistics,
     new_attempt_window,
 )
-from pipitshed.scheduling.endpoint_list import EndpointList
+from pipitshed.scheduling.deadline_queue import DeadlineQueue
+from pipitshed.scheduling.endpoint_list import EndpointList, PoolKey
 from pipitshed.scheduling.events import (
     AttemptEndDeferred,
     AttemptFinished,
@@ -45,11 +46,13 @@
     ResponseStarted,
     TimerFired,
 )
-from pipitshed.scheduling.job_state import Attempt, Job
+from pipitshed.scheduling.job_state import Attempt, Job, Scope
 from pipitshed.scheduling.poll_schedule import PollSchedule
 from pipitshed.scheduling.settings import Settings
+from pipitshed.scheduling.slow_start_budget import SlowStartBudget, SlowStartWait
 from pipitshed.scheduling.worker_selection import WorkerSelector
 from pipitshed.scheduling.worker_state import Worker
+from pipitshed.scheduling.worker_throughput import WorkerThroughput
 
 
 class Dispatcher:
@@ -69,12 +72,22 @@
         self.workers = self.endpoints.workers
         self.poll_schedule = PollSchedule()
         self.admission = AdmissionControl(settings, self.window, self.load, self.statistics, self.rng)
+        throughput = WorkerThroughput()
+        self.budget = SlowStartBudget(settings, throughput, self.statistics, seed)
         self.selector = WorkerSelector(
-            settings, self.endpoints, self.window, self.load, self.statistics, self.rng
+            settings,
+            self.endpoints,
+            self.window,
+            self.load,
+            self.statistics,
+            self.budget,
+            throughput,
+            self.rng,
         )
         self.recorder = AttemptRecorder(
-            settings, self.endpoints, self.window, self.load, self.statistics, self.rng
+            settings, self.endpoints, self.window, self.load, self.statistics, throughput, self.rng
         )
+        self._slow_start_queues: dict[tuple[Scope, PoolKey], DeadlineQueue] = {}
         self._timers: dict[int, int | None] = {}  # job id by token; None for the poll schedule
         self._last_token = 0
         self._handlers: dict[type, Callable[[Any], None]] = {
@@ -102,6 +115,7 @@
         self.statistics.add_classes(len(settings.classes))
         self.admission.apply_settings(settings)
         self.selector.settings = settings
+        self.budget.settings = settings
         self.recorder.settings = settings
 
     def handle(self, now_ms: float, events: Iterable[Event]) -> list[Action]:
@@ -130,6 +144,7 @@
 
     def _on_endpoints_updated(self, event: EndpointsUpdated) -> None:
         self.endpoints.apply_update(event, self.now_ms)
+        self._wake_slow_start_queues()
         delay_ms = self.poll_schedule.delay_after_update(event.kind, self.settings, self.now_ms, self.rng)
         if delay_ms is not None:
             self._poll_after(delay_ms)
@@ -190,11 +205,18 @@
             if not self._attempts_to_wait_for(job):
                 self._give_up(job, reason)
             return
-        worker = self.selector.select(job, options.scope, self.now_ms)
-        if worker is None:
+        if job.latest_slow_start_ms is not None and self._is_behind_another(job, options.scope):
+            self._pause_in_slow_start(job)
+            return
+        selection = self.selector.select(job, options.scope, self.now_ms)
+        if selection is None:
             self._back_off(job)
+        elif isinstance(selection, SlowStartWait):
+            self._wait_for_slow_start(job, options.scope, selection)
         else:
-            self._dispatch(job, worker)
+            self._dispatch(job, selection)
+            if self._slow_start_queues:
+                self._wake_slow_start_queues()
 
     def _dispatch(self, job: Job, worker: Worker) -> None:
         now_ms = self.now_ms
@@ -202,6 +224,8 @@
         job.attempts.append(attempt)
         self.waiting.pop(job.id, None)
         self.recorder.dispatched(job, attempt, now_ms)
+        if worker.slow_start_bucket is not None:
+            self.budget.record_sent(worker, job, now_ms)
         write_within_ms = retry_policy.write_within_ms(job, self.settings.tick_ms, now_ms)
         self.actions.append(StartAttempt(job.id, worker.id, write_within_ms=write_within_ms))
         if self.settings.workers_report_start:
@@ -211,6 +235,43 @@
         job.resume_at_ms = self.now_ms + retry_policy.backoff_ms(job, self.rng)
         self._wake_at(job, job.resume_at_ms)
 
+    def _wait_for_slow_start(self, job: Job, scope: Scope, wait: SlowStartWait) -> None:
+        """Let the job wait for a worker in slow start; the one with the earliest deadline is next."""
+        key = scope, (job.class_index, job.compatible_interfaces)
+        job.latest_slow_start_ms = wait.latest_start_ms
+        self._slow_start_queues.setdefault(key, DeadlineQueue()).add(job)
+        self._pause_in_slow_start(job)
+        until_ms = wait.until_ms
+        if math.isinf(until_ms):
+            until_ms = self.now_ms + retry_policy.backoff_ms(job, self.rng)
+        self._wake_first_in_slow_start(key, until_ms)
+
+    def _pause_in_slow_start(self, job: Job) -> None:
+        """Look again after a long pause, unless the job is woken before as the first of its queue."""
+        job.resume_at_ms = self.now_ms + retry_policy.longest_backoff_ms(job, self.rng)
+        self._wake_at(job, job.resume_at_ms)
+
+    def _is_behind_another(self, job: Job, scope: Scope) -> bool:
+        """Whether another job is next in the queue in which this one still is in time."""
+        queue = self._slow_start_queues.get((scope, (job.class_index, job.compatible_interfaces)))
+        if queue is None or self.now_ms > (job.latest_slow_start_ms or job.deadline_ms):
+            return False
+        return queue.first(self.waiting, self.now_ms) not in (None, job)
+
+    def _wake_slow_start_queues(self) -> None:
+        """Let the first job of each queue look for a worker, as one may have capacity now."""
+        for key in list(self._slow_start_queues):
+            self._wake_first_in_slow_start(key, self.now_ms)
+
+    def _wake_first_in_slow_start(self, key: tuple[Scope, PoolKey], at_ms: float) -> None:
+        """Let the first of the jobs that wait for these workers look for one at this time, if not before."""
+        job = self._slow_start_queues[key].first(self.waiting, self.now_ms)
+        if job is None:
+            del self._slow_start_queues[key]
+            return
+        job.resume_at_ms = min(job.resume_at_ms, max(at_ms, self.now_ms + self.settings.tick_ms))
+        self._wake_at(job, job.resume_at_ms)
+
     def _give_up(self, job: Job, reason: AnswerReason) -> None:
         self.actions.append(retry_policy.final_answer(job, reason, self.settings, self.now_ms, self.rng))
         self._finish(job)
@@ -235,7 +296,14 @@
         return job, job.attempts[attempt_index]
 
     def _attempts_to_wait_for(self, job: Job) -> list[Attempt]:
-        return job.attempts_to_wait_for(self.settings.limits.parallel_attempts)
+        """The attempts whose end the job awaits before it gets another.
+
+        One whose end is deferred is still outstanding, so only where attempts may run in parallel is it not
+        awaited.
+        """
+        if self.settings.limits.parallel_attempts:
+            return [attempt for attempt in job.attempts_in_flight() if not attempt.end_deferred]
+        return job.attempts_in_flight()
 
     def _start_timeout_ms(self, job: Job) -> float:
         return attempt_watchdog.start_timeout_ms(job, self.settings, self.window, self.now_ms)
@@ -338,6 +406,8 @@
             return
         job, attempt = job_and_attempt
         self.recorder.finished(job, attempt, event, self.now_ms)
+        if self._slow_start_queues:
+            self._wake_slow_start_queues()
         if event.answered and not job.finished:
             self._finish(job)
         elif job.finished:
@@ -345,6 +415,7 @@
                 self.jobs.pop(job.id, None)
         elif not self._attempts_to_wait_for(job):
             self.waiting[job.id] = job
+            job.latest_slow_start_ms = None  # a retry is no part of the backlog
             self._back_off(job)
             if event.pushback_ms is not None:
                 self._apply_pushback(job, attempt.worker, event.pushback_ms)
--- a/pipitshed/scheduling/endpoint_list.py
+++ b/pipitshed/scheduling/endpoint_list.py
@@ -87,6 +87,7 @@
             self.departed_at_ms.pop(worker.id, None)
         if entry.started_at_ms > worker.started_at_ms:
             worker.started_at_ms = entry.started_at_ms
+            worker.slow_start_bucket = None
             outlier_ejection.end_all_ejections(worker)  # the ejections were due to the previous process
 
     def _remove_all_except(self, listed: set[WorkerId], now_ms: float) -> None:
--- a/pipitshed/scheduling/job_state.py
+++ b/pipitshed/scheduling/job_state.py
@@ -60,6 +60,7 @@
         "streaming",
         "served",
         "resume_at_ms",
+        "latest_slow_start_ms",
         "wake_at_ms",
         "no_capacity_count",
         "reset_count",
@@ -83,6 +84,7 @@
         self.streaming = False
         self.served = False
         self.resume_at_ms = now_ms  # earliest time of the next attempt
+        self.latest_slow_start_ms: float | None = None  # latest time to start in slow start; if it has waited
         self.wake_at_ms = math.inf  # time at which the earliest timer for the job fires
         self.no_capacity_count = 0  # attempts that found no capacity
         self.reset_count = 0  # attempts whose connection broke
@@ -95,18 +97,6 @@
         """The attempts that have no outcome yet."""
         return [attempt for attempt in self.attempts if attempt.in_flight]
 
-    def attempts_to_wait_for(self, parallel_attempts: bool) -> list[Attempt]:
-        """The attempts whose end the job awaits before it gets another.
-
-        One whose end is deferred is still outstanding, so only where attempts may run in parallel is it not
-        awaited.
-        """
-        return [
-            attempt
-            for attempt in self.attempts
-            if attempt.in_flight and not (parallel_attempts and attempt.end_deferred)
-        ]
-
     def first_possible_execution(self) -> Attempt | None:
         """The first attempt that may have run."""
         for attempt in self.attempts:
--- a/pipitshed/scheduling/retry_policy.py
+++ b/pipitshed/scheduling/retry_policy.py
@@ -157,6 +157,11 @@
     return mean_ms * rng.uniform(0.5, 1.5)
 
 
+def longest_backoff_ms(job: Job, rng: random.Random) -> float:
+    """A random pause in ms before the next look for a worker, as long as any pause gets in the mean."""
+    return MAX_BACKOFF_OBJECTIVE_FRACTION * job.job_class.latency_objective_ms * rng.uniform(0.5, 1.5)
+
+
 def final_answer(
     job: Job, reason: AnswerReason, settings: Settings, now_ms: float, rng: random.Random
 ) -> RejectRequest | FailRequest:
--- a/pipitshed/scheduling/settings.py
+++ b/pipitshed/scheduling/settings.py
@@ -106,7 +106,7 @@
     drain_grace_ms: float = 0.0
     slow_start_ms: float = 0.0
     initial_capacity_fraction: float = 1.0
-    overload_multiple: float = 1.0
+    overload_multiple: float = 0.0  # of its capacity by then, what a worker in slow start bears; 0 if untold
     overload_window_ms: float = 1000.0
     poll_deadline_ms: float = 10000.0
 
--- a/pipitshed/scheduling/slow_start.py
+++ b/pipitshed/scheduling/slow_start.py
@@ -15,6 +15,15 @@
     return worker.started_at_ms > 0 and now_ms - worker.started_at_ms < slow_start_ms
 
 
+def capacity_fraction(worker: Worker, guarantees: Guarantees, now_ms: float) -> float:
+    """The fraction of its capacity that a worker in slow start has reached at least."""
+    age_ms = max(0.0, now_ms - worker.started_at_ms)
+    return (
+        guarantees.initial_capacity_fraction
+        + (1 - guarantees.initial_capacity_fraction) * age_ms / guarantees.slow_start_ms
+    )
+
+
 def accepts(
     worker: Worker,
     job: Job,
@@ -30,11 +39,7 @@
     than mean work. The caller decides only once per job: further draws would prefer these workers, which look
     idle, and all dispatchers together would send one of them more than its part.
     """
-    age_ms = max(0.0, now_ms - worker.started_at_ms)
-    capacity_fraction = (
-        guarantees.initial_capacity_fraction
-        + (1 - guarantees.initial_capacity_fraction) * age_ms / guarantees.slow_start_ms
-    )
+    reached_fraction = capacity_fraction(worker, guarantees, now_ms)
     relative_work = statistics.relative_work(job)
     accepted_fraction = min(statistics.served_fraction, 1 - rejected_fraction)
-    return rng.random() * max(1.0, relative_work) < capacity_fraction * accepted_fraction
+    return rng.random() * max(1.0, relative_work) < reached_fraction * accepted_fraction
--- a/pipitshed/scheduling/worker_selection.py
+++ b/pipitshed/scheduling/worker_selection.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+from collections.abc import Collection
 
 from pipitshed.scheduling import slow_start
 from pipitshed.scheduling.capacity_estimate import DEFAULT_WORKER_SLOTS, LoadEstimate, ServiceStatistics
@@ -16,8 +17,10 @@
 from pipitshed.scheduling.outlier_ejection import is_ejected, is_slow
 from pipitshed.scheduling.recent_counts import AttemptWindow
 from pipitshed.scheduling.settings import Settings
+from pipitshed.scheduling.slow_start_budget import SlowStartBudget, SlowStartWait
 from pipitshed.scheduling.weighted_pools import Pool
 from pipitshed.scheduling.worker_state import Worker
+from pipitshed.scheduling.worker_throughput import WorkerThroughput
 
 MAX_DRAWS = 16  # per selection; after them a passed-over worker is chosen
 LOCAL_DRAWS = 2.0  # of these, the draws from the local zone only
@@ -30,7 +33,16 @@
 class WorkerSelector:
     """Selects the worker for an attempt."""
 
-    __slots__ = ("settings", "_endpoints", "_window", "_load", "_statistics", "_rng")
+    __slots__ = (
+        "settings",
+        "_endpoints",
+        "_window",
+        "_load",
+        "_statistics",
+        "_budget",
+        "_throughput",
+        "_rng",
+    )
 
     def __init__(
         self,
@@ -39,6 +51,8 @@
         window: AttemptWindow,
         load: LoadEstimate,
         statistics: ServiceStatistics,
+        budget: SlowStartBudget,
+        throughput: WorkerThroughput,
         rng: random.Random,
     ) -> None:
         self.settings = settings
@@ -46,11 +60,16 @@
         self._window = window
         self._load = load
         self._statistics = statistics
+        self._budget = budget
+        self._throughput = throughput
         self._rng = rng
 
-    def select(self, job: Job, scope: Scope, now_ms: float) -> Worker | None:
+    def select(self, job: Job, scope: Scope, now_ms: float) -> Worker | SlowStartWait | None:
         """A worker of the scope for the job's next attempt; None where the scope has none.
 
+        Where all workers that are drawn are in slow start, the job goes to one of them or waits, as their
+        budgets permit.
+
         The order of preference: a worker that is not passed over and has an idle connection, one that is not
         passed over, and the best-ranked fallback where no attempt of the job is in flight.
         """
@@ -64,22 +83,59 @@
         tried = {attempt.worker.id: attempt.in_flight for attempt in job.attempts}
         unconnected: Worker | None = None
         fallback: Worker | None = None
+        turned_down: dict[Worker, None] = {}  # workers in slow start
         for draw in range(MAX_DRAWS):
             worker = (local_pool if local_pool and draw < local_draws else pool).draw(self._rng)
-            if slow_start.is_warming_up(worker, slow_start_ms, now_ms) and (
-                draw or tried or not self._accepts_in_slow_start(worker, job, now_ms)
-            ):
-                continue
+            if slow_start.is_warming_up(worker, slow_start_ms, now_ms):
+                if draw or tried or not self._accepts_in_slow_start(worker, job, now_ms):
+                    turned_down[worker] = None
+                    continue
+            elif not draw and job.latest_slow_start_ms is None:  # a random sample, but for a backlog
+                self._throughput.record_running(worker.kind, worker.running_count)
             if worker.id not in tried and not self._is_passed_over(worker, job, now_ms):
                 if self._has_connection(worker, now_ms):
                     return worker
                 unconnected = unconnected or worker
-            elif not tried.get(worker.id) and (
-                fallback is None
-                or self._fallback_rank(worker, now_ms) < self._fallback_rank(fallback, now_ms)
-            ):
-                fallback = worker
-        return unconnected or fallback
+            elif not tried.get(worker.id):
+                fallback = self._better_fallback(fallback, worker, now_ms)
+        return unconnected or self._select_last(job, fallback, turned_down, now_ms)
+
+    def _select_last(
+        self, job: Job, fallback: Worker | None, turned_down: Collection[Worker], now_ms: float
+    ) -> Worker | SlowStartWait | None:
+        """The worker for a job that no draw found one for; jobs that waited don't all go to one at once."""
+        if fallback is None:
+            return self._select_in_slow_start(job, turned_down, now_ms)
+        if job.latest_slow_start_ms is not None and not self._budget.has_room(fallback):
+            return SlowStartWait(math.inf, job.latest_slow_start_ms)
+        return fallback
+
+    def _better_fallback(self, first: Worker | None, second: Worker, now_ms: float) -> Worker:
+        """The one of two passed-over workers with the better rank; the first among equals."""
+        if first is None or self._fallback_rank(second, now_ms) < self._fallback_rank(first, now_ms):
+            return second
+        return first
+
+    def _select_in_slow_start(
+        self, job: Job, workers: Collection[Worker], now_ms: float
+    ) -> Worker | SlowStartWait | None:
+        """One of these workers in slow start whose budget permits a job, or when one will permit it.
+
+        None where the settings give no budget, and for a further attempt beside one in flight.
+        """
+        if not workers or not self._budget.is_limited or job.attempts_in_flight():
+            return None
+        until_ms, latest_start_ms = math.inf, job.submitted_at_ms
+        for worker in workers:
+            latest_start_ms = max(latest_start_ms, self._budget.latest_start_ms(worker, job, now_ms))
+            has_queue = self.settings.workers_report_start and worker.unstarted_count > 0
+            if has_queue or is_ejected(worker, now_ms) or now_ms > latest_start_ms:
+                continue
+            ready_at_ms = self._budget.ready_at_ms(worker, job, now_ms)
+            if ready_at_ms <= now_ms:
+                return worker
+            until_ms = min(until_ms, ready_at_ms)
+        return SlowStartWait(until_ms, latest_start_ms)
 
     def _local_pool(
         self, scope: Scope, key: PoolKey, pool: Pool[Worker], now_ms: float
@@ -101,7 +157,7 @@
         return local_pool
 
     def _accepts_in_slow_start(self, worker: Worker, job: Job, now_ms: float) -> bool:
-        return slow_start.accepts(
+        is_accepted = slow_start.accepts(
             worker,
             job,
             self.settings.guarantees,
@@ -110,6 +166,7 @@
             now_ms,
             self._rng,
         )
+        return is_accepted and self._budget.permits(worker, job, now_ms)
 
     def _is_passed_over(self, worker: Worker, job: Job, now_ms: float) -> bool:
         """Whether the worker is passed over in this draw."""
--- a/pipitshed/scheduling/worker_state.py
+++ b/pipitshed/scheduling/worker_state.py
@@ -3,10 +3,20 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 
 from pipitshed.scheduling.events import EndpointEntry
 
 
+@dataclass(slots=True)
+class TokenBucket:
+    """Tokens for jobs that a worker in slow start may get; below 0 where it got more."""
+
+    tokens: float
+    updated_at_ms: float
+    denied_at_ms: float = -math.inf  # when a job last had to wait for a token
+
+
 class Worker:
     """A worker of the endpoint list, and what this dispatcher has observed about it."""
 
@@ -20,6 +30,7 @@
         "interface",
         "planned_weights",
         "started_at_ms",
+        "slow_start_bucket",
         "ready",
         "in_flight_count",
         "unstarted_count",
@@ -44,6 +55,7 @@
         self.interface = entry.interface
         self.planned_weights = entry.planned_weights
         self.started_at_ms = 0.0
+        self.slow_start_bucket: TokenBucket | None = None  # None until a job could go to it in slow start
         self.ready = False
         self.in_flight_count = 0  # this dispatcher's attempts at the worker
         self.unstarted_count = 0  # those of them that have not started
@@ -57,6 +69,11 @@
         self.idle_connection_count = 0  # open connections of this dispatcher that are not in use
         self.idle_connection_at_ms = -math.inf  # when a connection last became idle
 
+    @property
+    def running_count(self) -> int:
+        """This dispatcher's started attempts at the worker; all, where starts are not reported."""
+        return self.in_flight_count - self.unstarted_count
+
     def selection_fields(self) -> tuple[object, ...]:
         """The fields from the endpoint list that determine the selection weights."""
         return self.ready, self.kind, self.weight, self.job_classes, self.interface, self.planned_weights
