--- a/tests/server/test_loop_share.py
+++ b/tests/server/test_loop_share.py
@@ -101,7 +101,7 @@
 
 @GROUPS[1]
 @pytest.mark.parametrize("reads", [True, False], ids=["read", "unread"])
-@pytest.mark.parametrize("flood", GEARMAN_FLOODS)
+@pytest.mark.parametrize("flood", GEARMAN_FLOODS, ids=[name.replace(" ", "-") for name in GEARMAN_FLOODS])
 def test_a_gearman_peer_at_full_speed_leaves_time_for_others(flood: str, reads: bool) -> None:
     @async_test
     async def run() -> None:
