A retry is not woken as one of the jobs that wait for a worker in slow start

A job that was sent could still stand in the queue, and as a retry would have been woken as its first, before the pause of its backoff or the one that its worker asks for had passed.

Change: the queue drops jobs that do not wait in slow start (any more).

--- a/pipitshed/scheduling/deadline_queue.py
+++ b/pipitshed/scheduling/deadline_queue.py
@@ -30,7 +30,8 @@
         """The job with the earliest deadline of those that still wait; None if there is none."""
         while self._heap:
             _, job_id, job = self._heap[0]
-            if job_id in waiting_ids and now_ms <= (job.latest_slow_start_ms or job.deadline_ms):
+            latest_ms = job.latest_slow_start_ms  # None for a retry, which has its own pause
+            if job_id in waiting_ids and latest_ms is not None and now_ms <= latest_ms:
                 return job
             heapq.heappop(self._heap)
             self._ids.discard(job_id)
--- a/tests/scheduling/test_slow_start_budget.py
+++ b/tests/scheduling/test_slow_start_budget.py
@@ -8,6 +8,7 @@
 from helpers import Bench, entries, sends_of, settings, worker_id
 
 from pipitshed.scheduling.actions import StartAttempt
+from pipitshed.scheduling.deadline_queue import DeadlineQueue
 from pipitshed.scheduling.events import (
     AttemptProgressed,
     EndpointEntry,
@@ -17,6 +18,7 @@
     ProgressKind,
     UpdateKind,
 )
+from pipitshed.scheduling.job_state import Job
 from pipitshed.scheduling.settings import Guarantees, Limits, Settings
 
 GUARANTEES = Guarantees(
@@ -112,6 +114,21 @@
     assert len(bench.sends) == 2
 
 
+def test_a_retry_is_not_woken_as_one_of_the_jobs_that_wait() -> None:
+    """Guards against a retry that is sent before the pause that its worker asks for has passed."""
+    job, retry = [
+        Job(JobSubmitted(number, 1000.0 / number), config().classes[0], now_ms=0.0) for number in (1, 2)
+    ]
+    queue = DeadlineQueue()
+    for waiting in (job, retry):
+        waiting.latest_slow_start_ms = 400.0
+        queue.add(waiting)
+    assert queue.first({1, 2}, 0.0) is retry
+    retry.latest_slow_start_ms = None
+    assert queue.first({1, 2}, 0.0) is job
+    assert queue.first({1, 2}, 401.0) is None
+
+
 def test_a_job_that_can_not_end_in_time_takes_no_token() -> None:
     """Guards against tokens for jobs that end after their deadline, while others could end in time."""
     bench = Bench(config(workers_report_start=True), entries(1))
