What a worker's record does not state is unknown, or stays as it was known

Cause: `_catalog_entry` put a default in the place of each field that a TXT record lacks, and the catalog's decoder did the same with its JSON; nothing behind them could tell a default from a statement.

Change: a field that is not stated, or has no valid value, is None in `CatalogEntry`. `EndpointParser` fills it from what the source last said of the worker (`EndpointTable.last_known`, for a removed worker until it is forgotten), or leaves it unknown. A worker of unknown cell shares its jobs with no other one (`cell_scope`). A drain that a TXT record no longer names while others are ready stands; a stated state, a later start or a new registration with a TXT record ends it. On the same path: a worker's own drain notice no longer ends because its start becomes known, an interface stays though a record lacks it, a start that is stated late causes no second probe, and SRV, TXT and A are taken on their own: a failed query hides no drain that another one tells.

--- a/pipitshed/discovery/catalog/update_parser.py
+++ b/pipitshed/discovery/catalog/update_parser.py
@@ -15,17 +15,20 @@
 
 
 class CatalogEntry(msgspec.Struct, rename="camel", gc=False):
-    """One worker as the catalog lists it; the names are those of the catalog's JSON."""
+    """One worker as the catalog lists it; the names are those of the catalog's JSON.
+
+    A field that the entry does not state is None, which says nothing new of the worker.
+    """
 
     instance_id: str
     host_port: str
-    zone: str = ""
-    machine_type: str = ""
-    cell: int = 0
-    lifecycle: str = "ready"
-    weight: float = 1.0
-    started_at_ms: float = 0.0
-    interface: int = 0  # the version of the worker's interface; 0 where the entry lacks it
+    zone: str | None = None
+    machine_type: str | None = None
+    cell: int | None = None
+    lifecycle: str | None = None
+    weight: float | None = None
+    started_at_ms: float | None = None
+    interface: int | None = None  # the version of the worker's interface
 
 
 class CatalogUpdate(msgspec.Struct):
--- a/pipitshed/discovery/dns_sd.py
+++ b/pipitshed/discovery/dns_sd.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import dns.asyncquery
@@ -13,11 +14,11 @@
 import dns.name
 import dns.rcode
 import dns.rdatatype
-import dns.rdtypes.ANY.TXT
 import dns.rrset
 import msgspec
 
 from pipitshed.discovery.catalog import CatalogEntry, EndpointParser
+from pipitshed.discovery.dns_records import STATE_KEY, instance_entry, parse_txt, with_known_fields
 from pipitshed.proxy.endpoint_table import EndpointRow, EndpointTable
 from pipitshed.scheduling.events import UpdateKind
 
@@ -26,60 +27,49 @@
 MAX_REFRESH_INTERVAL_S = 0.5  # also for long times to live: no job may reach a worker 1.5 s after its drain
 MIN_REFRESH_INTERVAL_S = 0.1  # also for short times to live
 REFRESH_TTL_FRACTION = 0.8  # of the records' time to live, after which they are queried again
-_MAX_NUMBER = 1e15  # in a TXT record; a larger one is not a weight, cell or time
+READY = "ready"
 
 log = logging.getLogger("pipitshed")
 
 
-class _QueryFailedError(Exception):
-    """The name server did not answer, or answered with an error."""
+@dataclass(frozen=True, slots=True)
+class _Lookup:
+    """The result of one query.
+
+    Attributes:
+        is_answered: Whether the name server answered; if not, the query says nothing about the records.
+        records: None where the answer has none, or their time to live of 0 withdraws them.
+    """
+
+    is_answered: bool
+    records: dns.rrset.RRset | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class _Instance:
-    """A service instance as its records describe it."""
+    """A service instance as its records describe it.
 
-    entry: CatalogEntry
-    expires_at: float  # loop time
+    Attributes:
+        entry: With the fields that its TXT record states, or has stated since the instance is listed.
+        omits_state: Whether its last TXT record had no key for the state.
+        srv_weight: The weight of its SRV record.
+        expires_at: The loop time at which its records expire.
+    """
 
+    entry: CatalogEntry
+    omits_state: bool
+    srv_weight: int
+    expires_at: float
 
-def _parse_txt(rrset: dns.rrset.RRset) -> dict[str, str]:
-    """The key/value pairs of a TXT record.
+    @property
+    def is_ready(self) -> bool:
+        """Whether the instance is ready by its records; one that has never stated a state is."""
+        return self.entry.lifecycle in (None, READY)
 
-    Keys are case-insensitive, and of a repeated key the first counts (RFC 6763, 6.4).
-    """
-    pairs: dict[str, str] = {}
-    record = rrset[0]
-    assert isinstance(record, dns.rdtypes.ANY.TXT.TXT)
-    for text in record.strings:
-        key, _, value = text.decode("utf-8", "replace").partition("=")
-        if key:
-            pairs.setdefault(key.lower(), value)
-    return pairs
-
-
-def _parse_float(text: str, default: float) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        return default
-    return value if 0 <= value < _MAX_NUMBER else default
-
-
-def _catalog_entry(
-    name: dns.name.Name, host: str, port: int, srv_weight: int, txt: dict[str, str]
-) -> CatalogEntry:
-    return CatalogEntry(
-        instance_id=name.to_text(),
-        host_port=f"{host}:{port}",
-        zone=txt.get("zone", ""),
-        machine_type=txt.get("kind", ""),
-        cell=int(_parse_float(txt.get("cell", ""), 0)),
-        lifecycle=txt.get("state", "ready"),
-        weight=_parse_float(txt.get("weight", ""), float(srv_weight) or 1.0),
-        started_at_ms=_parse_float(txt.get("started", ""), 0.0),
-        interface=int(_parse_float(txt.get("interface", ""), 0)),
-    )
+    @property
+    def may_be_ready(self) -> bool:
+        """Whether the instance has stated that it is not ready, and its TXT record no longer does."""
+        return self.omits_state and not self.is_ready
 
 
 class DnsSdClient:
@@ -121,38 +111,34 @@
             interval_s = max(REFRESH_TTL_FRACTION * ttl_s, MIN_REFRESH_INTERVAL_S)
             await asyncio.sleep(min(interval_s, MAX_REFRESH_INTERVAL_S))
 
-    async def _query(self, name: dns.name.Name, kind: dns.rdatatype.RdataType) -> dns.message.Message:
+    async def _lookup(self, name: dns.name.Name, kind: dns.rdatatype.RdataType) -> _Lookup:
+        """Query the records of a name; a server that can't be reached or reports an error does not answer."""
         query = dns.message.make_query(name, kind)
         try:
             response, _ = await dns.asyncquery.udp_with_fallback(
                 query, self._server_host, QUERY_TIMEOUT_S, self._server_port
             )
-        except (dns.exception.DNSException, OSError) as error:
-            raise _QueryFailedError(str(error)) from None
+        except (dns.exception.DNSException, OSError):
+            return _Lookup(False)
         if response.rcode() not in (dns.rcode.NOERROR, dns.rcode.NXDOMAIN):
-            raise _QueryFailedError(dns.rcode.to_text(response.rcode()))
-        return response
-
-    async def _records(self, name: dns.name.Name, kind: dns.rdatatype.RdataType) -> dns.rrset.RRset | None:
-        """Return the records of a name; None if there are none, or their time to live of 0 withdraws them."""
-        response = await self._query(name, kind)
+            return _Lookup(False)
         records = response.get_rrset(dns.message.ANSWER, name, dns.rdataclass.IN, kind)
-        return records if records is not None and records.ttl > 0 else None
+        return _Lookup(True, records if records is not None and records.ttl > 0 else None)
 
     async def _refresh(self) -> float:
         """Browse once, and publish the changes; return the shortest time to live (s) of the records."""
         now = self._loop.time()
-        try:
-            pointers = await self._records(self._service, dns.rdatatype.PTR)
-        except _QueryFailedError:
+        pointers = await self._lookup(self._service, dns.rdatatype.PTR)
+        if not pointers.is_answered:
             # A failed query says nothing about the instances: each stays until its records expire.
             self._instances = {
                 name: instance for name, instance in self._instances.items() if instance.expires_at > now
             }
             self._publish()
             return MIN_REFRESH_INTERVAL_S
-        ttls_s = [float(pointers.ttl)] if pointers is not None else []
-        names = [record.target for record in pointers] if pointers is not None else []
+        records = pointers.records
+        ttls_s = [float(records.ttl)] if records is not None else []
+        names = [record.target for record in records] if records is not None else []
         resolved = await asyncio.gather(*(self._resolve(name) for name in names))
         self._instances = {
             name: instance
@@ -164,28 +150,33 @@
         return min(ttls_s, default=MAX_REFRESH_INTERVAL_S)
 
     async def _resolve(self, name: dns.name.Name) -> _Instance | None:
-        """Return an instance from its SRV, TXT and A records; the last known one if a query fails."""
-        try:
-            srv, txt = await asyncio.gather(
-                self._records(name, dns.rdatatype.SRV), self._records(name, dns.rdatatype.TXT)
-            )
-            if srv is None:
-                return None
-            service = min(srv, key=lambda record: record.priority)
-            addresses = await self._records(service.target, dns.rdatatype.A)
-        except _QueryFailedError:
-            return self._instances.get(name)
-        if addresses is None:
+        """Return an instance from its SRV, TXT and A records; None if it has no address.
+
+        A TXT record that is missing, or whose query fails, changes nothing of a known instance. An instance
+        of which nothing is known is not listed before a query for its TXT record is answered.
+        """
+        known = self._instances.get(name)
+        srv, txt = await asyncio.gather(
+            self._lookup(name, dns.rdatatype.SRV), self._lookup(name, dns.rdatatype.TXT)
+        )
+        if (srv.is_answered and srv.records is None) or (not txt.is_answered and known is None):
             return None
-        pairs = _parse_txt(txt) if txt is not None else {}
-        entry = _catalog_entry(name, addresses[0].to_text(), service.port, service.weight, pairs)
-        ttl_s = min(srv.ttl, addresses.ttl, txt.ttl if txt is not None else srv.ttl)
-        return _Instance(entry, self._loop.time() + ttl_s)
+        if srv.records is None:
+            return _with_last_address(name, known, txt)
+        service = min(srv.records, key=lambda record: record.priority)
+        addresses = await self._lookup(service.target, dns.rdatatype.A)
+        if not addresses.is_answered:
+            return _with_last_address(name, known, txt)
+        if addresses.records is None:
+            return None
+        host_port = f"{addresses.records[0].to_text()}:{service.port}"
+        ttls_s = [lookup.records.ttl for lookup in (srv, addresses, txt) if lookup.records is not None]
+        return _instance(name, host_port, service.weight, txt, known, self._loop.time() + min(ttls_s))
 
     def _publish(self) -> None:
         """Update the endpoint table with the entries that have changed or disappeared."""
         before = self._published
-        current = {name: instance.entry for name, instance in self._instances.items()}
+        current = _listed_entries(self._instances)
         if current == before:
             return
         self._published = current
@@ -200,3 +191,50 @@
             with contextlib.suppress(ValueError):
                 rows.append(self._parser.row(entry))
         self._table.update(SOURCE, UpdateKind.DELTA, 0, rows)
+
+
+def _instance(
+    name: dns.name.Name,
+    host_port: str,
+    srv_weight: int,
+    txt: _Lookup,
+    known: _Instance | None,
+    expires_at: float,
+) -> _Instance:
+    """An instance from its records, and from what was known of it where its TXT record states less."""
+    pairs = parse_txt(txt.records) if txt.records is not None else {}
+    entry = instance_entry(name, host_port, pairs)
+    if entry.weight is None and srv_weight and (known is None or srv_weight != known.srv_weight):
+        entry.weight = float(srv_weight)
+    omits_state = STATE_KEY not in pairs
+    if txt.records is None:
+        omits_state = known is not None and known.omits_state
+    elif known is None and omits_state:
+        entry.lifecycle = READY  # a state that was known before the instance was withdrawn has ended
+    if known is not None:
+        entry = with_known_fields(entry, known.entry)
+    return _Instance(entry, omits_state, srv_weight, expires_at)
+
+
+def _with_last_address(name: dns.name.Name, known: _Instance | None, txt: _Lookup) -> _Instance | None:
+    """A known instance whose address can't be looked up, with its new TXT record, until it expires."""
+    if known is None:
+        return None
+    return _instance(name, known.entry.host_port, known.srv_weight, txt, known, known.expires_at)
+
+
+def _listed_entries(instances: Mapping[dns.name.Name, _Instance]) -> dict[dns.name.Name, CatalogEntry]:
+    """The entries of all instances, with a decision on those that may be ready.
+
+    An instance that has said it drains, and whose TXT record names no state now, gets no jobs while at least
+    as many others are ready. Beyond that they are taken as ready: where most instances are like this, their
+    records do not tell the end of a drain.
+    """
+    ready_count = sum(instance.is_ready for instance in instances.values())
+    doubtful_count = sum(instance.may_be_ready for instance in instances.values())
+    return {
+        name: msgspec.structs.replace(instance.entry, lifecycle=READY)
+        if instance.may_be_ready and doubtful_count > ready_count
+        else instance.entry
+        for name, instance in instances.items()
+    }
--- a/pipitshed/discovery/worker_interfaces.py
+++ b/pipitshed/discovery/worker_interfaces.py
@@ -15,7 +15,7 @@
 from pipitshed.protocols.address import Address, parse_address
 from pipitshed.proxy.endpoint_table import EndpointTable
 from pipitshed.proxy.worker_client import WorkerClient
-from pipitshed.scheduling.events import UpdateKind, WorkerId
+from pipitshed.scheduling.events import UNKNOWN_START_MS, UpdateKind, WorkerId
 
 MAX_CONCURRENT_PROBES = 8  # so that many workers that start together do not cause a burst of connections
 FIRST_RETRY_DELAY_S = 0.25  # after a failed probe; doubles with each further one
@@ -28,7 +28,12 @@
 
 @dataclass(slots=True)
 class _KnownWorker:
-    """The state of one worker since its last start."""
+    """The state of one worker since its last start.
+
+    Attributes:
+        entry: The last entry, with the interface and start time that the worker's entries stated last.
+        detected: The interface that a probe found.
+    """
 
     entry: CatalogEntry
     source: str
@@ -42,8 +47,29 @@
         return parse_address(self.entry.host_port)
 
     def is_same_start(self, entry: CatalogEntry) -> bool:
-        """Whether an entry is for the known process, not for one started later or at another address."""
-        return (entry.started_at_ms, entry.host_port) == (self.entry.started_at_ms, self.entry.host_port)
+        """Whether an entry is for the known process, not for one started later or at another address.
+
+        An entry without a start time does not show that there was another start.
+        """
+        if entry.host_port != self.entry.host_port:
+            return False
+        return None in (entry.started_at_ms, self.entry.started_at_ms) or (
+            entry.started_at_ms == self.entry.started_at_ms
+        )
+
+    def update(self, entry: CatalogEntry, source: str, parser: EndpointParser) -> None:
+        """Take in a further entry for the same process."""
+        started_at_ms, interface = entry.started_at_ms, entry.interface
+        self.entry = msgspec.structs.replace(
+            entry,
+            started_at_ms=self.entry.started_at_ms if started_at_ms is None else started_at_ms,
+            interface=self.entry.interface if interface is None else interface,
+        )
+        self.source, self.parser = source, parser
+
+
+def _stated_start_ms(started_at_ms: float) -> float | None:
+    return None if started_at_ms == UNKNOWN_START_MS else started_at_ms
 
 
 class InterfaceRegistry:
@@ -74,19 +100,38 @@
         known = self._known.get(worker)
         if entry.lifecycle == "gone":
             self._known.pop(worker, None)
-        elif known is None or not known.is_same_start(entry):
+        elif known is None:
+            entry = self._with_removed_interface(source, entry)
+            known = self._known[worker] = _KnownWorker(entry, source, parser)
+        elif not known.is_same_start(entry):
             known = self._known[worker] = _KnownWorker(entry, source, parser)
         else:
-            known.entry, known.source, known.parser = entry, source, parser
-        interface = self._interface(entry, known)
+            known.update(entry, source, parser)
+        interface = self._interface(entry if known is None else known.entry, known)
         if interface == _UNKNOWN and known is not None:
             self._request_probe(worker, known)
         return interface, self._worker_clients[interface or _DEFAULT_INTERFACE]
 
+    def _with_removed_interface(self, source: str, entry: CatalogEntry) -> CatalogEntry:
+        """The entry of a worker that is listed again; its last interface is added if it states none.
+
+        This holds for the same address and start. If another process is there, its first answer shows it.
+        """
+        worker = entry.instance_id.encode()
+        known, endpoint = self._table.last_known(source, worker), self._table.endpoint(worker)
+        if entry.interface is not None or known is None or endpoint is None:
+            return entry
+        is_same_start = entry.started_at_ms in (None, _stated_start_ms(known.started_at_ms))
+        if not is_same_start or endpoint.address != parse_address(entry.host_port):
+            return entry
+        return msgspec.structs.replace(
+            entry, interface=known.interface, started_at_ms=_stated_start_ms(known.started_at_ms)
+        )
+
     def _interface(self, entry: CatalogEntry, known: _KnownWorker | None) -> int:
         # A detected interface takes precedence: there is one only if none was given, or the entry was wrong.
         detected = known.detected if known is not None else _UNKNOWN
-        if entry.interface in self._worker_clients:
+        if entry.interface is not None and entry.interface in self._worker_clients:
             return detected or entry.interface
         return detected or self._configured.get(entry.instance_id, 0) or self._default
 
--- a/pipitshed/proxy/endpoint_table.py
+++ b/pipitshed/proxy/endpoint_table.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Callable, Container, Iterable, Iterator, Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from itertools import groupby, takewhile
 from time import monotonic
 from typing import cast
@@ -12,6 +12,7 @@
 from pipitshed.flow_control import NO_CHARGE, MemoryBudget, Priority
 from pipitshed.proxy.worker_client import Endpoint
 from pipitshed.scheduling.events import (
+    UNKNOWN_START_MS,
     DiscoveryMoved,
     EndpointEntry,
     EndpointState,
@@ -57,6 +58,19 @@
     return EndpointsUpdated(UpdateKind.DELTA, version, tuple(entries.values()))
 
 
+@dataclass(slots=True)
+class _DrainingMark:
+    """A worker's own report that it drains.
+
+    Attributes:
+        started_at_ms: The start of the process that reported it.
+        listed_state: What the source says of the worker, which applies again without the report.
+    """
+
+    started_at_ms: float
+    listed_state: EndpointState
+
+
 def _no_workers() -> Container[WorkerId]:
     return ()
 
@@ -94,13 +108,14 @@
         self._on_forgotten: Callable[[WorkerId], None] | None = None
         self._endpoints: dict[WorkerId, Endpoint] = {}
         self._listed: dict[str, dict[WorkerId, EndpointEntry]] = {}  # by source
-        # Workers that reported that they drain, and the start time (ms) of the process that reported it.
-        self._draining_marks: dict[WorkerId, float] = {}
+        self._draining_marks: dict[WorkerId, _DrainingMark] = {}
         self._planned_weights: dict[WorkerId, tuple[float, ...]] | None = None  # by class
         self._ready_counts: dict[int, int] = {}  # number of ready workers by interface
         self._interfaces = frozenset[int]()  # of ready workers, as last reported to on_interfaces_changed
         self._leaving: set[WorkerId] = set()  # workers last published as draining or removed
         self._removed_at: dict[WorkerId, float] = {}  # clock time in s, the earliest first
+        # The last entries of removed workers, until these are forgotten, and the sources that listed them.
+        self._removed_entries: dict[WorkerId, tuple[str, EndpointEntry]] = {}
 
     def attach_forgotten_listener(self, on_forgotten: Callable[[WorkerId], None]) -> None:
         """Set the function that is called for each worker that is forgotten.
@@ -134,6 +149,18 @@
         """The entries of all sources at present."""
         return [entry for listed in self._listed.values() for entry in listed.values()]
 
+    def last_known(self, source: str, worker: WorkerId) -> EndpointEntry | None:
+        """What a source last said of a worker that it lists, or listed last before the worker was removed.
+
+        None for a worker that the source has never listed, or that is forgotten.
+        """
+        entry = self._listed.get(source, {}).get(worker)
+        if entry is not None:
+            mark = self._draining_marks.get(worker)
+            return entry if mark is None else replace(entry, state=mark.listed_state)
+        removed_from, entry = self._removed_entries.get(worker, ("", None))
+        return entry if removed_from == source else None
+
     # ---- updates from sources
 
     def update(self, source: str, kind: UpdateKind, version: int, rows: Iterable[EndpointRow]) -> None:
@@ -149,7 +176,7 @@
             worker = entry.worker
             if received is not None:
                 received.add(worker)
-            entry = self._with_draining_mark(entry)
+            entry = self._with_draining_mark(source, entry)
             if self._planned_weights is not None:
                 entry = replace(entry, planned_weights=self._planned_weights.get(worker))
             if not self._set_endpoint(worker, endpoint):
@@ -161,9 +188,10 @@
         if received is not None:
             for worker, known in listed.items():
                 if worker not in received:
-                    entries[worker] = self._with_draining_mark(replace(known, state=EndpointState.REMOVED))
+                    removed = replace(known, state=EndpointState.REMOVED)
+                    entries[worker] = self._with_draining_mark(source, removed)
         for entry in entries.values():
-            self._set_entry(listed, entry)
+            self._set_entry(source, entry)
         kind = UpdateKind.DELTA if kind is UpdateKind.SNAPSHOT else kind
         self._publish(EndpointsUpdated(kind, version, tuple(entries.values())))
         self._forget_removed()
@@ -213,14 +241,15 @@
         Whatever the sources list, the worker counts as draining until they list a newer start time of it or
         the mark is cleared.
         """
-        found = [(listed, listed[worker]) for listed in self._listed.values() if worker in listed]
+        found = [(source, listed[worker]) for source, listed in self._listed.items() if worker in listed]
         if not found or worker in self._draining_marks:
             return
-        self._draining_marks[worker] = max(entry.started_at_ms for _, entry in found)
+        started_at_ms = max(entry.started_at_ms for _, entry in found)
+        self._draining_marks[worker] = _DrainingMark(started_at_ms, found[0][1].state)
         changed = []
-        for listed, entry in found:
-            changed.append(self._with_draining_mark(entry))
-            self._set_entry(listed, changed[-1])
+        for source, entry in found:
+            changed.append(self._with_draining_mark(source, entry))
+            self._set_entry(source, changed[-1])
         self._publish(EndpointsUpdated(UpdateKind.DELTA, 0, tuple(changed)))
 
     def is_marked_draining(self, worker: WorkerId) -> bool:
@@ -228,23 +257,47 @@
         return worker in self._draining_marks
 
     def clear_draining(self, worker: WorkerId) -> None:
-        """Discard the worker's own report that it drains; the next row of its source applies."""
-        self._draining_marks.pop(worker, None)
+        """Discard the worker's own report that it drains; what its sources list applies again."""
+        mark = self._draining_marks.pop(worker, None)
+        if mark is None:
+            return
+        changed = []
+        for source, listed in self._listed.items():
+            entry = listed.get(worker)
+            if entry is not None and entry.state is not mark.listed_state:
+                changed.append(replace(entry, state=mark.listed_state))
+                self._set_entry(source, changed[-1])
+        if changed:
+            self._publish(EndpointsUpdated(UpdateKind.DELTA, 0, tuple(changed)))
 
-    def _with_draining_mark(self, entry: EndpointEntry) -> EndpointEntry:
-        """The entry with the worker's own report applied; a newer start or a removal clears the report."""
-        marked_start_ms = self._draining_marks.get(entry.worker)
-        if marked_start_ms is None:
+    def _with_draining_mark(self, source: str, entry: EndpointEntry) -> EndpointEntry:
+        """The entry with the worker's own report applied; a newer start or a removal clears the report.
+
+        What the source said of a worker that it removes is kept first, as that lies in the report.
+        """
+        if entry.state is EndpointState.REMOVED:
+            self._keep_last_known(source, entry.worker)
+        mark = self._draining_marks.get(entry.worker)
+        if mark is None:
             return entry
-        if entry.state is EndpointState.REMOVED or entry.started_at_ms > marked_start_ms:
+        if mark.started_at_ms == UNKNOWN_START_MS:
+            mark.started_at_ms = entry.started_at_ms  # a start that is stated late shows no other process
+        if entry.state is EndpointState.REMOVED or entry.started_at_ms > mark.started_at_ms:
             del self._draining_marks[entry.worker]  # the report came from the previous process
             return entry
+        mark.listed_state = entry.state
         return replace(entry, state=EndpointState.DRAINING) if entry.state is EndpointState.READY else entry
 
+    def _keep_last_known(self, source: str, worker: WorkerId) -> None:
+        known = self.last_known(source, worker)
+        if known is not None:
+            self._removed_entries[worker] = source, known
+
     # ---- internal state
 
-    def _set_entry(self, listed: dict[WorkerId, EndpointEntry], entry: EndpointEntry) -> None:
+    def _set_entry(self, source: str, entry: EndpointEntry) -> None:
         """Store one entry in a source's list, or remove it, and update the counts."""
+        listed = self._listed[source]
         removed = entry.state is EndpointState.REMOVED
         known = listed.pop(entry.worker, None) if removed else listed.get(entry.worker)
         if known is not None and known.state is EndpointState.READY:
@@ -256,6 +309,7 @@
             if not any(entry.worker in one for one in self._listed.values()):
                 self._removed_at[entry.worker] = self._clock()
         else:
+            self._removed_entries.pop(entry.worker, None)
             listed[entry.worker] = entry
             if entry.state is EndpointState.READY:
                 self._ready_counts[entry.interface] = self._ready_counts.get(entry.interface, 0) + 1
@@ -290,6 +344,7 @@
                 self._removed_at[worker] = now
                 continue
             del self._endpoints[worker]
+            self._removed_entries.pop(worker, None)
             if self._memory_charge.byte_count:
                 self._memory_charge.add(-ENDPOINT_BYTES)
             self._leaving.discard(worker)
--- a/pipitshed/scheduling/endpoint_list.py
+++ b/pipitshed/scheduling/endpoint_list.py
@@ -13,7 +13,7 @@
     UpdateKind,
     WorkerId,
 )
-from pipitshed.scheduling.job_state import Scope
+from pipitshed.scheduling.job_state import Scope, cell_scope
 from pipitshed.scheduling.settings import Settings, WeightKind
 from pipitshed.scheduling.weighted_pools import Pools
 from pipitshed.scheduling.worker_state import Worker
@@ -131,9 +131,10 @@
         Where there are several zones, a worker of unknown zone may be in any of them, so it recognises no
         other worker's jobs, and no other worker recognises its own.
         """
+        own_cell = cell_scope(worker.cell, worker.id)
         if worker.zone == UNKNOWN_ZONE and self.settings.zone_count > 1:
-            return (None,)
-        return None, ("zone", worker.zone), ("cell", worker.cell)
+            return None, own_cell
+        return None, ("zone", worker.zone), own_cell
 
     @staticmethod
     def takes_class(worker: Worker, class_index: int) -> bool:
--- a/pipitshed/scheduling/events.py
+++ b/pipitshed/scheduling/events.py
@@ -9,7 +9,9 @@
 from dataclasses import dataclass
 
 WorkerId = bytes
-UNKNOWN_ZONE = -1  # of a worker whose entry names no zone
+UNKNOWN_ZONE = -1  # of a worker whose zone is not known
+UNKNOWN_CELL = -1  # of a worker whose cell is not known
+UNKNOWN_START_MS = -1.0  # of a worker whose start time is not known; 0 is a start long ago
 
 
 class EndpointState(enum.IntEnum):
--- a/pipitshed/scheduling/job_state.py
+++ b/pipitshed/scheduling/job_state.py
@@ -4,11 +4,21 @@
 
 import math
 
-from pipitshed.scheduling.events import JobSubmitted
+from pipitshed.scheduling.events import UNKNOWN_CELL, JobSubmitted, WorkerId
 from pipitshed.scheduling.settings import JobClass
 from pipitshed.scheduling.worker_state import Worker
 
-Scope = tuple[str, int] | None  # the workers that a job may go to: those of a zone, of a cell, or all
+Scope = (
+    tuple[str, int | WorkerId] | None
+)  # the workers that a job may go to: those of a zone, of a cell, or all
+
+
+def cell_scope(cell: int, worker: WorkerId) -> Scope:
+    """The workers that recognise repeats of this worker's jobs, where those of one cell do.
+
+    A worker of unknown cell may be in any, so it shares its jobs with no other one.
+    """
+    return "cell", worker if cell == UNKNOWN_CELL else cell
 
 
 class Attempt:
--- a/pipitshed/scheduling/retry_policy.py
+++ b/pipitshed/scheduling/retry_policy.py
@@ -11,7 +11,7 @@
 
 from pipitshed.scheduling.actions import AnswerReason, FailRequest, RejectRequest
 from pipitshed.scheduling.capacity_estimate import BUSY_PROBABILITY
-from pipitshed.scheduling.job_state import Attempt, Job, Scope
+from pipitshed.scheduling.job_state import Attempt, Job, Scope, cell_scope
 from pipitshed.scheduling.recent_counts import AttemptWindow
 from pipitshed.scheduling.settings import DeduplicationScope, Idempotency, JobClass, Limits, Settings
 
@@ -65,7 +65,7 @@
         return None
     if job_class.deduplication_scope is DeduplicationScope.ZONE:
         return "zone", first.zone
-    return "cell", first.cell
+    return cell_scope(first.cell, first.worker.id)
 
 
 def _repeat_until_ms(first: Attempt, job_class: JobClass, tick_ms: float) -> float:
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -138,7 +138,8 @@
 
     def parser(source: str) -> EndpointParser:
         interfaces = translation.interfaces if translation is not None else None
-        return EndpointParser(source, names.zones, names.kinds, http_workers, interfaces)
+        last_known = forwarder.endpoints.last_known
+        return EndpointParser(source, names.zones, names.kinds, http_workers, interfaces, last_known)
 
     discovery = build_discovery(config, parser, forwarder, loop, flow_control)
     dns_sd = build_dns_sd(front, parser, forwarder, loop)
--- a/tests/interface_registry_rig.py
+++ b/tests/interface_registry_rig.py
@@ -25,7 +25,14 @@
             lambda worker, address: self.probes.append((worker, address)),
             lambda delay_s, callback: self.timers.append((delay_s, callback)),
         )
-        self.parser = EndpointParser("test", NameIndex(["z"]), NameIndex([]), "http", self.interfaces)  # type: ignore[arg-type]
+        self.parser = EndpointParser(
+            "test",
+            NameIndex(["z"]),
+            NameIndex([]),
+            "http",  # type: ignore[arg-type]
+            self.interfaces,
+            self.table.last_known,
+        )
 
     def list_entries(self, *entries: CatalogEntry) -> None:
         self.table.update("test", UpdateKind.DELTA, 1, [self.parser.row(entry) for entry in entries])
--- a/tests/name_server.py
+++ b/tests/name_server.py
@@ -28,10 +28,11 @@
 
 
 class NameServer(asyncio.DatagramProtocol):
-    """Answers from `records`, and counts the queries by name and type."""
+    """Answers from `records`, or with the error code in `failing`; counts the queries by name and type."""
 
     def __init__(self) -> None:
         self.records: dict[tuple[str, str], list[str]] = {}
+        self.failing: dict[tuple[str, str], dns.rcode.Rcode] = {}
         self.query_counts: dict[tuple[str, str], int] = {}
         self.query_received = asyncio.Event()
 
@@ -49,7 +50,9 @@
         name, kind = query.question[0].name, dns.rdatatype.to_text(query.question[0].rdtype)
         answer = dns.message.make_response(query)
         key = (name.to_text(), kind)
-        if key in self.records:
+        if key in self.failing:
+            answer.set_rcode(self.failing[key])
+        elif key in self.records:
             answer.answer.append(dns.rrset.from_text(name, 1, "IN", kind, *self.records[key]))
         else:
             answer.set_rcode(dns.rcode.NXDOMAIN)
--- a/tests/scheduling/test_endpoint_list.py
+++ b/tests/scheduling/test_endpoint_list.py
@@ -13,6 +13,7 @@
 from pipitshed.scheduling.actions import StartAttempt
 from pipitshed.scheduling.endpoint_list import DEPARTED_RETENTION_MS
 from pipitshed.scheduling.events import (
+    UNKNOWN_CELL,
     UNKNOWN_ZONE,
     EndpointEntry,
     EndpointState,
@@ -232,3 +233,35 @@
     bench.dispatcher.apply_settings(replace(bench.config, zone_count=zone_count))
     bench.finish(job, 0, Outcome.RESET)
     assert bool(retries(bench)) is (zone_count == 1)
+
+
+def test_a_keyed_job_at_a_worker_of_unknown_cell_is_repeated_at_no_other_worker() -> None:
+    """Guards against a cell of all workers whose cell is not known, and against one that takes in cell 0."""
+    bench = bench_of(Idempotency.IDEMPOTENT_WITH_KEY, DeduplicationScope.CELL)
+    update_list(bench, replace(FIRST, cell=UNKNOWN_CELL))
+    job = submit_job(bench)
+    update_list(bench, replace(SECOND, cell=UNKNOWN_CELL), replace(THIRD, cell=0))
+    bench.finish(job, 0, Outcome.RESET)
+    assert {send.worker for send in retries(bench)} == {FIRST_ID}
+
+
+def test_a_keyed_job_is_not_repeated_at_a_worker_of_unknown_cell() -> None:
+    """Guards against a worker of unknown cell that gets the jobs lost in a known one."""
+    bench = bench_of(Idempotency.IDEMPOTENT_WITH_KEY, DeduplicationScope.CELL)
+    update_list(bench, replace(FIRST, cell=0))
+    job = submit_job(bench)
+    update_list(bench, replace(FIRST, state=EndpointState.REMOVED), replace(SECOND, cell=UNKNOWN_CELL))
+    bench.finish(job, 0, Outcome.RESET)
+    assert not retries(bench)
+    update_list(bench, replace(SECOND, cell=0))
+    assert {send.worker for send in retries(bench)} == {SECOND_ID}
+
+
+def test_a_cell_that_becomes_known_after_the_dispatch_is_not_that_of_the_dispatch() -> None:
+    """Guards against a repeat in the cell that a worker names later, as it may have been in another one."""
+    bench = bench_of(Idempotency.IDEMPOTENT_WITH_KEY, DeduplicationScope.CELL)
+    update_list(bench, replace(FIRST, cell=UNKNOWN_CELL))
+    job = submit_job(bench)
+    update_list(bench, replace(FIRST, cell=2), replace(SECOND, cell=2))
+    bench.finish(job, 0, Outcome.RESET)
+    assert not retries(bench)
