--- a/pipitshed/config/front.py
+++ b/pipitshed/config/front.py
@@ -6,7 +6,7 @@
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
-from typing import TYPE_CHECKING, Literal
+from typing import TYPE_CHECKING, Annotated, Literal
 
 import msgspec
 
@@ -31,7 +31,7 @@
 class _Workers(msgspec.Struct):
     zone: str = ""
     kind: str = ""
-    cell: int = 0
+    cell: Annotated[int, msgspec.Meta(ge=0)] | None = None  # not known where missing
     weight: float = 1.0
 
 
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -32,7 +32,7 @@
 from pipitshed.proxy.decision_log import DecisionLog
 from pipitshed.proxy.executed_requests import ExecutedRequests
 from pipitshed.proxy.forwarder import Forwarder
-from pipitshed.scheduling.events import UNKNOWN_ZONE
+from pipitshed.scheduling.events import UNKNOWN_CELL, UNKNOWN_ZONE
 from pipitshed.scheduling.settings import Settings
 from pipitshed.server.descriptors import DescriptorBudget
 from pipitshed.upstream.http import HttpWorkerClient
@@ -325,7 +325,7 @@
     zones, kinds = parts.names.zones, parts.names.kinds
     location = WorkerLocation(
         zones.index(front.gearman_workers.zone) if front.gearman_workers.zone else None,
-        front.gearman_workers.cell,
+        UNKNOWN_CELL if front.gearman_workers.cell is None else front.gearman_workers.cell,
         kinds.index(front.gearman_workers.kind),
         front.gearman_workers.weight,
     )
--- a/pipitshed/upstream/gearman.py
+++ b/pipitshed/upstream/gearman.py
@@ -13,7 +13,14 @@
 from pipitshed.proxy.attempt import Attempt
 from pipitshed.proxy.forwarder import Forwarder
 from pipitshed.proxy.worker_client import Endpoint
-from pipitshed.scheduling.events import EndpointEntry, EndpointState, Outcome, ProgressKind, UpdateKind
+from pipitshed.scheduling.events import (
+    UNKNOWN_CELL,
+    EndpointEntry,
+    EndpointState,
+    Outcome,
+    ProgressKind,
+    UpdateKind,
+)
 
 SOURCE = "gearman workers"
 MAX_PROGRESS_COUNT = 1e18
@@ -81,11 +88,12 @@
 class WorkerLocation:
     """Zone, cell, machine kind and weight of all Gearman workers, as the front file sets them.
 
-    Without a zone they are in that of the scheduler, which a reload may change.
+    Without a zone they are in that of the scheduler, which a reload may change. Without a cell no two of them
+    are taken to be in the same one.
     """
 
     zone: int | None = None
-    cell: int = 0
+    cell: int = UNKNOWN_CELL
     kind: int = 0
     weight: float = 1.0
 
