A malformed field of one catalog entry no longer drops the whole update

Callers could have jobs sent to a draining worker: an update in which one entry has, say, "cell": "three" was rejected whole, with the drains of others in it, and each further call got it again.

Cause: the decoder checks all fields of all entries at once (`_decode`). Change: where that fails, the update is decoded again without the optional fields that are invalid. Entries without a valid instance id or address, and texts that are no update, are rejected as before. A valid update is decoded as before, in one pass.

--- a/pipitshed/discovery/catalog/update_parser.py
+++ b/pipitshed/discovery/catalog/update_parser.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+from typing import Any
 
 import msgspec
 
@@ -39,23 +40,61 @@
     reset: bool = False
 
 
+class _RawUpdate(msgspec.Struct):
+    """An update whose entries are not checked yet."""
+
+    generation: int
+    instances: list[dict[str, msgspec.Raw]]
+    reset: bool = False
+
+
 _decode = msgspec.json.Decoder(CatalogUpdate).decode
+_decode_raw = msgspec.json.Decoder(_RawUpdate).decode
+_OPTIONAL_FIELDS = {
+    field.encode_name: field for field in msgspec.structs.fields(CatalogEntry) if not field.required
+}
 
 
 def decode_update(text: bytes) -> CatalogUpdate | None:
     """Decode one update; None if the text ends before the update does.
 
+    An optional field with a value of another type says nothing, like one that is missing.
+
     Raises:
-        MalformedResponseError: If the text is no update.
+        MalformedResponseError: If the text is no update, or an entry has no valid instance id or address.
     """
     try:
         return _decode(text)
+    except msgspec.ValidationError:
+        return _decode_valid_fields(text)
     except msgspec.DecodeError as error:
         if "truncated" in str(error):
             return None
         raise MalformedResponseError(f"invalid update: {error}") from None
 
 
+def _decode_valid_fields(text: bytes) -> CatalogUpdate:
+    """Decode an update without the optional fields that are invalid."""
+    try:
+        raw = _decode_raw(text)
+        entries = [msgspec.convert(_valid_fields(entry), CatalogEntry) for entry in raw.instances]
+    except msgspec.DecodeError as error:
+        raise MalformedResponseError(f"invalid update: {error}") from None
+    return CatalogUpdate(raw.generation, entries, raw.reset)
+
+
+def _valid_fields(entry: dict[str, msgspec.Raw]) -> dict[str, object]:
+    """The values of an entry's fields, without the optional ones that are invalid."""
+    values: dict[str, object] = {}
+    for name, raw in entry.items():
+        field = _OPTIONAL_FIELDS.get(name)
+        try:
+            values[name] = msgspec.json.decode(raw, type=Any if field is None else field.type)
+        except msgspec.ValidationError:
+            continue
+    return values
+
+
 class LineAssembler:
     """Joins the lines of an indented update.
 
--- a/tests/discovery/test_last_known_fields.py
+++ b/tests/discovery/test_last_known_fields.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 from unittest.mock import Mock
@@ -16,7 +17,9 @@
 from name_server import SERVICE, NameServer, name_server
 
 from pipitshed.discovery.catalog import CatalogEntry, EndpointParser, NameIndex
+from pipitshed.discovery.catalog.update_parser import decode_update
 from pipitshed.discovery.dns_sd import SOURCE, DnsSdClient
+from pipitshed.protocols.http import MalformedResponseError
 from pipitshed.proxy.endpoint_table import FORGET_AFTER_S, EndpointTable
 from pipitshed.scheduling.events import (
     UNKNOWN_CELL,
@@ -334,6 +337,44 @@
     assert rig.fields()[3] is READY
 
 
+def test_a_field_of_the_catalog_of_another_type_says_nothing_and_the_rest_counts() -> None:
+    """Guards against an update that is dropped, and the drain in it, as a field of one entry is malformed."""
+    malformed = {
+        "cell": "three",
+        "zone": 7,
+        "machineType": None,
+        "weight": [],
+        "startedAtMs": "x",
+        "interface": {},
+    }
+    instances = [
+        {"instanceId": "p1", "hostPort": "127.0.0.1:7", "lifecycle": ["ready"]} | malformed,
+        {"instanceId": "p2", "hostPort": "127.0.0.1:8", "lifecycle": "draining", "cell": 4},
+    ]
+    update = decode_update(json.dumps({"generation": 9, "reset": True, "instances": instances}).encode())
+    assert update is not None and update.generation == 9 and update.reset
+    assert update.instances == [
+        CatalogEntry("p1", "127.0.0.1:7"),
+        CatalogEntry("p2", "127.0.0.1:8", cell=4, lifecycle="draining"),
+    ]
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b'{"generation":1,"instances":[{"instanceId":7,"hostPort":"127.0.0.1:7"}]}',
+        b'{"generation":1,"instances":[{"instanceId":"p1","hostPort":null,"cell":"x"}]}',
+        b'{"generation":1,"instances":[{"instanceId":"p1","cell":"x"}]}',
+        b'{"generation":"x","instances":[]}',
+        b'{"generation":1,"instances":[7]}',
+    ],
+)
+def test_an_update_that_does_not_name_its_workers_is_invalid(text: bytes) -> None:
+    """Guards against an entry that is taken for another worker's."""
+    with pytest.raises(MalformedResponseError):
+        decode_update(text)
+
+
 # ---- a worker's own drain notice, and its interface
 
 
