A worker that its source begins to list without a start time counts as just started

It was read in the code and shown by the test, not by an overload of a worker.

Cause: an unknown start had the value 0, "long ago". Change: `EndpointTable` takes the time at which a worker appears as its start where the source has listed others before; those of a first list may have started long before, so that a fleet whose records tell no starts is served from the beginning. It stands while the worker is known, and a stated start replaces it.

--- a/pipitshed/proxy/endpoint_table.py
+++ b/pipitshed/proxy/endpoint_table.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Container, Iterable, Iterator, Sequence
 from dataclasses import dataclass, replace
 from itertools import groupby, takewhile
-from time import monotonic
+from time import monotonic, time
 from typing import cast
 
 from pipitshed.flow_control import NO_CHARGE, MemoryBudget, Priority
@@ -24,6 +24,7 @@
 EndpointRow = tuple[EndpointEntry, Endpoint]
 ENDPOINTS_FRACTION = 0.4  # of the memory budget, which all workers together take at most
 ENDPOINT_BYTES = 1536  # taken by one worker, here and in the dispatcher
+MS_PER_S = 1000
 FORGET_AFTER_S = 60.0  # after a worker's removal; pending actions of the dispatcher may still name it
 
 
@@ -88,6 +89,7 @@
         workers_in_use: Returns the workers with attempts in flight, or waiting to start.
         on_interfaces_changed: Called when the set of interfaces of ready workers has changed.
         memory: Bounds the number of workers; further ones are not listed.
+        unix_ms: Unix time in ms, the clock of the workers' start times.
     """
 
     def __init__(
@@ -97,12 +99,14 @@
         workers_in_use: Callable[[], Container[WorkerId]] = _no_workers,
         on_interfaces_changed: Callable[[], None] = _ignore_interfaces,
         memory: MemoryBudget | None = None,
+        unix_ms: Callable[[], float] = lambda: time() * MS_PER_S,
     ) -> None:
         self._memory_charge = memory.charge() if memory is not None else NO_CHARGE
         self._is_full_logged = False
         self.publishes_unchanged = False  # whether unchanged entries are published too: for live weights
         self._post = post
         self._clock = clock
+        self._unix_ms = unix_ms
         self._workers_in_use = workers_in_use
         self._on_interfaces_changed = on_interfaces_changed
         self._on_forgotten: Callable[[WorkerId], None] | None = None
@@ -170,15 +174,14 @@
         longer lists are removed. Unchanged entries are not published, unless `publishes_unchanged` is set.
         """
         listed = self._listed.setdefault(source, {})
+        is_first_list = not listed
         entries: dict[WorkerId, EndpointEntry] = {}
         received: set[WorkerId] | None = set() if kind is UpdateKind.SNAPSHOT else None
         for entry, endpoint in rows:
             worker = entry.worker
             if received is not None:
                 received.add(worker)
-            entry = self._with_draining_mark(source, entry)
-            if self._planned_weights is not None:
-                entry = replace(entry, planned_weights=self._planned_weights.get(worker))
+            entry = self._completed(source, entry, is_first_list)
             if not self._set_endpoint(worker, endpoint):
                 continue
             if entry != listed.get(worker) or kind is UpdateKind.CACHED or self.publishes_unchanged:
@@ -196,6 +199,24 @@
         self._publish(EndpointsUpdated(kind, version, tuple(entries.values())))
         self._forget_removed()
 
+    def _completed(self, source: str, entry: EndpointEntry, is_first_list: bool) -> EndpointEntry:
+        """The entry with what this scheduler knows of the worker beside its source."""
+        if not is_first_list:
+            entry = self._with_assumed_start(source, entry)
+        entry = self._with_draining_mark(source, entry)
+        if self._planned_weights is not None:
+            entry = replace(entry, planned_weights=self._planned_weights.get(entry.worker))
+        return entry
+
+    def _with_assumed_start(self, source: str, entry: EndpointEntry) -> EndpointEntry:
+        """The entry; a worker that its source begins to list, without a start time, counts as started now.
+
+        The workers of a source's first list may have started long before.
+        """
+        if entry.started_at_ms != UNKNOWN_START_MS or self.last_known(source, entry.worker) is not None:
+            return entry
+        return replace(entry, started_at_ms=self._unix_ms())
+
     def _set_endpoint(self, worker: WorkerId, endpoint: Endpoint) -> bool:
         """Store a worker's endpoint; False if there is no memory for one more worker."""
         known = self._endpoints.get(worker)
--- a/pipitshed/proxy/forwarder.py
+++ b/pipitshed/proxy/forwarder.py
@@ -69,6 +69,7 @@
             workers_in_use=self._workers_in_use,
             on_interfaces_changed=self._interfaces_changed,
             memory=memory,
+            unix_ms=self._dispatch_loop.now_ms,
         )
         self.endpoints.publishes_unchanged = settings.weight_kind is WeightKind.LIVE
         self._requests = RequestLifecycle(
--- a/tests/discovery/test_last_known_fields.py
+++ b/tests/discovery/test_last_known_fields.py
@@ -256,8 +256,8 @@
     """The catalog's parser and a table, without I/O."""
 
     def __init__(self) -> None:
-        self.now_s = 0.0
-        self.table = EndpointTable(lambda update: None, lambda: self.now_s)
+        self.now_s, self.unix_ms = 0.0, 1e12
+        self.table = EndpointTable(lambda update: None, lambda: self.now_s, unix_ms=lambda: self.unix_ms)
         last_known = self.table.last_known
         self.parser = EndpointParser(
             CATALOG_SOURCE, NameIndex(ZONES), NameIndex(KINDS), Mock(), None, last_known
@@ -272,6 +272,9 @@
         ]
         self.table.update(CATALOG_SOURCE, kind, 1, rows)
 
+    def starts(self) -> dict[bytes, float]:
+        return {entry.worker: entry.started_at_ms for entry in self.table.entries()}
+
     def fields(self) -> tuple[Any, ...]:
         [entry] = self.table.entries()
         return fields(entry)
@@ -325,6 +328,22 @@
         assert rig.fields() == (known or (UNKNOWN_ZONE, UNKNOWN_CELL, 2, READY, UNKNOWN_START_MS, 1.0))
 
 
+def test_a_worker_that_appears_without_a_start_time_has_just_started() -> None:
+    """Guards against a worker that has just come and gets its whole share cold, as no start was stated."""
+    rig = CatalogRig()
+    rig.list_entries({}, {"instanceId": "p2", "startedAtMs": 7000})
+    rig.list_entries({"instanceId": "p3"}, {"instanceId": "p4", "startedAtMs": 0}, {"instanceId": "p1"})
+    assert rig.starts() == {b"p1": UNKNOWN_START_MS, b"p2": 7000.0, b"p3": rig.unix_ms, b"p4": 0.0}
+    appeared_at_ms, rig.unix_ms = rig.unix_ms, rig.unix_ms + 5000.0
+    rig.list_entries({"instanceId": "p3", "cell": 1})
+    assert rig.starts()[b"p3"] == appeared_at_ms
+    rig.list_entries({"instanceId": "p3", "lifecycle": "gone"}, {"instanceId": "p1", "lifecycle": "gone"})
+    rig.list_entries({"instanceId": "p3"}, {"instanceId": "p1"})
+    assert rig.starts()[b"p3"] == appeared_at_ms and rig.starts()[b"p1"] == UNKNOWN_START_MS
+    rig.list_entries({"instanceId": "p3", "startedAtMs": 6000})
+    assert rig.starts()[b"p3"] == 6000.0
+
+
 def test_a_later_start_ends_the_state_of_the_process_before() -> None:
     """Guards against a drain that outlasts its process, and one that ends as its start becomes known."""
     rig = CatalogRig()
