A load report with a value that is no finite number is ignored

A worker that answers with `X-Load: TEXT x0=nan` made the decisions raise (`round(nan)` in `LoadEstimate.record_report`), and the events of that moment, also those of other jobs, were lost with it: their clients would wait for an answer until their time is over.

Cause: `float` reads nan and inf from the text form. Change: `ordered_report` treats such a value like a missing one.

Test: tests/simulator/test_wire.py, 4 new cases, each of which got the values through before.

--- a/pipitshed/upstream/http/load_report.py
+++ b/pipitshed/upstream/http/load_report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 import msgspec
@@ -25,8 +26,9 @@
 
 
 def ordered_report(values: dict[str, float], fields: Sequence[str]) -> tuple[float, ...]:
-    """Return the values in the order of the fields; empty if one is missing.
+    """Return the values in the order of the fields; empty if one is missing or not finite.
 
     A missing field must not count as 0: depending on the field, 0 means that the worker is full or idle.
     """
-    return tuple(values[name] for name in fields) if all(name in values for name in fields) else ()
+    report = tuple(values.get(name, math.nan) for name in fields)
+    return report if all(map(math.isfinite, report)) else ()
--- a/tests/simulator/test_wire.py
+++ b/tests/simulator/test_wire.py
@@ -217,6 +217,12 @@
         wire.settings_from_json(data)
 
 
+@pytest.mark.parametrize("value", [b"nan", b"inf", b"-inf", b"1e999"])
+def test_a_load_report_with_a_value_that_is_not_finite_is_ignored(value: bytes) -> None:
+    """Guards against a worker's report that raises in the decisions: the events of that moment were lost."""
+    assert parse_load_report(b"TEXT x0=2, depth=" + value, ["depth", "x0"]) == ()
+
+
 def test_a_load_report_that_lacks_a_field_is_ignored() -> None:
     """Guards against a missing field that is read as 0 and makes a worker look full or idle."""
     assert ordered_report({"x0": 2.0, "depth": 1.0}, ["depth", "x0"]) == (1.0, 2.0)
