The first list of a slow name server is one list; a name in other letters is one worker

Change: the first instances are published together; a known instance keeps the id under which it was listed first.

--- a/pipitshed/discovery/dns_sd.py
+++ b/pipitshed/discovery/dns_sd.py
@@ -159,11 +159,15 @@
         return min(ttls_s, default=MAX_REFRESH_INTERVAL_S)
 
     async def _resolve_all(self, names: Sequence[dns.name.Name]) -> None:
-        """Resolve these instances, and publish them; a query without an answer delays no other instance."""
+        """Resolve these instances, and publish them; a query without an answer delays no other instance.
+
+        The first ones are published together: others that appear later count as just started.
+        """
         tasks = {name: self._loop.create_task(self._resolve(name)) for name in names}
         try:
             if tasks:
-                await asyncio.wait(tasks.values(), timeout=PARTIAL_PUBLISH_S)
+                timeout_s = PARTIAL_PUBLISH_S if self._published else None
+                await asyncio.wait(tasks.values(), timeout=timeout_s)
             self._apply_resolved(tasks)
             if any(not task.done() for task in tasks.values()):
                 await asyncio.wait(tasks.values())
@@ -263,6 +267,7 @@
         entry.lifecycle = READY  # a state that was known before the instance was withdrawn has ended
     if known is not None:
         entry = with_known_fields(entry, known.entry)
+        entry.instance_id = known.entry.instance_id  # names that differ in case are equal
     return _Instance(entry, omits_state, srv_weight, expires_at)
 
 
--- a/tests/discovery/test_last_known_fields.py
+++ b/tests/discovery/test_last_known_fields.py
@@ -18,7 +18,7 @@
 
 from pipitshed.discovery.catalog import CatalogEntry, EndpointParser, NameIndex
 from pipitshed.discovery.catalog.update_parser import decode_update
-from pipitshed.discovery.dns_sd import SOURCE, DnsSdClient
+from pipitshed.discovery.dns_sd import PARTIAL_PUBLISH_S, SOURCE, DnsSdClient
 from pipitshed.protocols.http import MalformedResponseError
 from pipitshed.proxy.endpoint_table import FORGET_AFTER_S, EndpointTable
 from pipitshed.scheduling.events import (
@@ -494,3 +494,28 @@
         browsing.server.add(other, "state=draining")
         assert (await browsing.fields(other))[3] is DRAINING  # type: ignore[index]
         assert (await browsing.fields(broken))[3] is READY  # type: ignore[index]
+
+
+@async_test
+async def test_the_first_workers_of_a_slow_name_server_have_not_just_started() -> None:
+    """Guards against slow start of the workers whose records are read last after a start of the scheduler."""
+    first, second = planner_at(), planner_at(planner_name="p2")
+    async with browser(first, second) as browsing:
+        browsing.server.delays_s[name(second), "TXT"] = 2 * PARTIAL_PUBLISH_S
+        assert (await browsing.fields(first))[4] == UNKNOWN_START_MS  # type: ignore[index]
+        assert (await browsing.fields(second))[4] == UNKNOWN_START_MS  # type: ignore[index]
+
+
+@async_test
+async def test_a_name_in_other_letters_is_the_same_worker() -> None:
+    """Guards against a worker that is listed twice, as its name comes in upper case; names have no case."""
+    planner = planner_at()
+    async with browser(planner) as browsing:
+        browsing.server.add(planner, *STATED)
+        assert await browsing.fields(planner) == KNOWN
+        upper_case = f"P1.{SERVICE}"
+        browsing.server.records[SERVICE, "PTR"] = [upper_case]
+        for kind in ("SRV", "TXT"):
+            browsing.server.records[upper_case, kind] = browsing.server.records[name(planner), kind]
+        assert await browsing.fields(planner) == KNOWN
+        assert len(browsing.table.entries()) == 1
--- a/tests/name_server.py
+++ b/tests/name_server.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self.records: dict[tuple[str, str], list[str]] = {}
+        self.delays_s: dict[tuple[str, str], float] = {}  # of answers
         self.silent: set[tuple[str, str]] = set()  # queries that get no answer
         self.failing: dict[tuple[str, str], dns.rcode.Rcode] = {}
         self.query_counts: dict[tuple[str, str], int] = {}
@@ -58,7 +59,8 @@
         else:
             answer.set_rcode(dns.rcode.NXDOMAIN)
         if key not in self.silent:
-            self.transport.sendto(answer.to_wire(), address)
+            delay_s = self.delays_s.get(key, 0.0)
+            asyncio.get_running_loop().call_later(delay_s, self.transport.sendto, answer.to_wire(), address)
         self.query_counts[key] = self.query_counts.get(key, 0) + 1
         self.query_received.set()
 
