--- a/pipitshed/scheduling/job_state.py
+++ b/pipitshed/scheduling/job_state.py
@@ -8,9 +8,8 @@
 from pipitshed.scheduling.settings import JobClass
 from pipitshed.scheduling.worker_state import Worker
 
-Scope = (
-    tuple[str, int | WorkerId] | None
-)  # the workers that a job may go to: those of a zone, of a cell, or all
+# The workers that a job may go to: those of a zone, of a cell, or all.
+Scope = tuple[str, int | WorkerId] | None
 
 
 def cell_scope(cell: int, worker: WorkerId) -> Scope:
