Stream tests: limit, timeout and messages are tested apart, each without the other's time

It opened 40 streams, one after the other, that time out after 0.3 s, and waited until 8 were refused at the limit of 32. Where opening them takes over 0.3 s, on a machine that is held up, the first ones time out before the limit is reached, and the test waits for its own timeout.

Change: three tests in its place, with the same assertions. Silent streams are closed after 0.3 s; streams over the limit are closed, exactly those, while the 32 stay open, where no stream times out (new: the old test did not see whether the open ones stay); oversized and foreign messages end their stream, likewise.

--- a/tests/cluster/test_peers.py
+++ b/tests/cluster/test_peers.py
@@ -13,7 +13,7 @@
 from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from loopback import ROOT, SETTINGS, async_test
+from loopback import ROOT, SETTINGS, TEST_TIMEOUT_S, async_test
 
 from pipitshed.cli.commands import main
 from pipitshed.cluster import streams
@@ -279,17 +279,50 @@
             node.close()
 
 
-def test_silent_and_oversized_streams_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.fixture
+def without_stream_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No stream times out within the time limit of a test, however busy the machine is."""
+    monkeypatch.setattr(streams, "STREAM_TIMEOUT_S", 2 * TEST_TIMEOUT_S)
+
+
+def test_silent_streams_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(streams, "STREAM_TIMEOUT_S", 0.3)
-    async_test(_check_streams)()
+    async_test(_check_silent_streams)()
+
+
+async def _check_silent_streams() -> None:
+    [node] = await start_cluster(1)
+    connections = [await asyncio.open_connection(*node.address) for _ in range(streams.MAX_STREAMS)]
+    ends = await asyncio.gather(*(reader.read() for reader, _ in connections), return_exceptions=True)
+    assert len(ends) == streams.MAX_STREAMS  # all were closed, at their timeout at the latest
+    assert node.counts["dropped_streams"] == 0
+    node.close()
+
 
+@pytest.mark.usefixtures("without_stream_timeout")
+def test_streams_over_the_limit_are_closed() -> None:
+    async_test(_check_stream_limit)()
 
-async def _check_streams() -> None:
+
+async def _check_stream_limit() -> None:
     [node] = await start_cluster(1)
     connections = [await asyncio.open_connection(*node.address) for _ in range(streams.MAX_STREAMS + 8)]
     await wait_until(lambda: node.counts["dropped_streams"] == 8)
-    ends = await asyncio.gather(*(reader.read() for reader, _ in connections), return_exceptions=True)
-    assert len(ends) == streams.MAX_STREAMS + 8  # all were closed, at their timeout at the latest
+    reads = [asyncio.create_task(reader.read()) for reader, _ in connections]
+    await asyncio.wait(reads[streams.MAX_STREAMS :])
+    assert not any(read.done() for read in reads[: streams.MAX_STREAMS])
+    assert node.counts["dropped_streams"] == 8
+    node.close()
+    await asyncio.wait(reads)
+
+
+@pytest.mark.usefixtures("without_stream_timeout")
+def test_streams_with_oversized_or_foreign_messages_are_closed() -> None:
+    async_test(_check_stream_messages)()
+
+
+async def _check_stream_messages() -> None:
+    [node] = await start_cluster(1)
     reader, writer = await asyncio.open_connection(*node.address)
     writer.write(LENGTH_PREFIX.pack(FRAME_LIMIT_BYTES + 1))
     with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
