--- a/tests/flow_control/test_input_scheduler.py
+++ b/tests/flow_control/test_input_scheduler.py
@@ -3,21 +3,42 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from unittest.mock import Mock
 
-from pipitshed.flow_control import FlowControl, HoldReason, PacedConnection
+import pytest
+
+from pipitshed.flow_control import FlowControl, HoldReason, PacedConnection, input_scheduler, paced_connection
 from pipitshed.flow_control.input_scheduler import READ_BYTES, SHARE_S, TURN_S
 
-SLICE_COST_S = 0.0005
+SLICE_COST_S = 0.0002  # a share holds several slices
+
+
+class VirtualClock:
+    """A monotonic clock that moves only while a slice is handled, whatever else the machine does."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> VirtualClock:
+    """The clock of the input scheduler and of the connections."""
+    clock = VirtualClock()
+    monkeypatch.setattr(input_scheduler, "monotonic", clock)
+    monkeypatch.setattr(paced_connection, "monotonic", clock)
+    return clock
 
 
 class Connection(PacedConnection):
     """Takes some time for each slice, and records what it has received."""
 
-    def __init__(self, flow_control: FlowControl) -> None:
+    def __init__(self, flow_control: FlowControl, clock: VirtualClock) -> None:
         super().__init__(flow_control)
+        self.clock = clock
         self.received = bytearray()
         self.drained_count = 0
         self.fails = False
@@ -31,7 +52,7 @@
         if self.fails:
             raise RuntimeError("broken")
         self.received += data
-        time.sleep(SLICE_COST_S)
+        self.clock.now_s += SLICE_COST_S
 
     def input_drained(self) -> None:
         self.drained_count += 1
@@ -57,12 +78,11 @@
 DATA = bytes(range(256)) * (READ_BYTES // 256)
 
 
-def test_a_connection_beyond_its_share_is_read_on_in_its_next_turn() -> None:
+def test_a_connection_beyond_its_share_is_read_on_in_its_next_turn(clock: VirtualClock) -> None:
     async def body(flow_control: FlowControl) -> None:
-        connection = Connection(flow_control)
-        started_at = time.monotonic()
+        connection = Connection(flow_control, clock)
         connection.read(DATA)
-        assert time.monotonic() - started_at < SHARE_S + 4 * SLICE_COST_S
+        assert clock.now_s < SHARE_S + SLICE_COST_S
         assert len(connection.received) < len(DATA) and connection.has_deferred_input
         connection.transport.pause_reading.assert_called()
         assert not connection.transport.resume_reading.called
@@ -73,23 +93,22 @@
     in_loop(body)
 
 
-def test_all_connections_of_an_iteration_share_its_time() -> None:
+def test_all_connections_of_an_iteration_share_its_time(clock: VirtualClock) -> None:
     async def body(flow_control: FlowControl) -> None:
-        connections = [Connection(flow_control) for _ in range(30)]
-        started_at = time.monotonic()
+        connections = [Connection(flow_control, clock) for _ in range(30)]
         for connection in connections:
             connection.read(DATA)
         # One slice each, beyond the time of the iteration.
-        assert time.monotonic() - started_at < TURN_S + SHARE_S + 30 * 4 * SLICE_COST_S
+        assert clock.now_s < TURN_S + 30 * SLICE_COST_S
         await until(lambda: not any(connection.has_deferred_input for connection in connections))
         assert all(connection.received == DATA for connection in connections)
 
     in_loop(body)
 
 
-def test_an_error_in_one_connection_leaves_the_turns_of_others() -> None:
+def test_an_error_in_one_connection_leaves_the_turns_of_others(clock: VirtualClock) -> None:
     async def body(flow_control: FlowControl) -> None:
-        broken, sound = Connection(flow_control), Connection(flow_control)
+        broken, sound = Connection(flow_control, clock), Connection(flow_control, clock)
         for connection in (broken, sound):
             connection.read(DATA)
         broken.fails = True
@@ -100,9 +119,9 @@
     in_loop(body)
 
 
-def test_held_input_waits_until_it_is_released_for_every_reason() -> None:
+def test_held_input_waits_until_it_is_released_for_every_reason(clock: VirtualClock) -> None:
     async def body(flow_control: FlowControl) -> None:
-        connection = Connection(flow_control)
+        connection = Connection(flow_control, clock)
         connection.read(DATA)
         before = len(connection.received)
         connection.hold_input(HoldReason.NO_MEMORY)
@@ -119,9 +138,9 @@
     in_loop(body)
 
 
-def test_input_of_a_whole_buffer_counts_as_drained_once_no_more_follows() -> None:
+def test_input_of_a_whole_buffer_counts_as_drained_once_no_more_follows(clock: VirtualClock) -> None:
     async def body(flow_control: FlowControl) -> None:
-        connection = Connection(flow_control)
+        connection = Connection(flow_control, clock)
         connection.read(DATA)
         assert not connection.is_input_drained
         await until(lambda: connection.is_input_drained)
