Gearman: handles are random at each start, so that jobs of two starts are never one

Cause: its idempotency key and request id are its handle, made from the scheduler's name, 32 bits of the configured seed and a count from 1. Attempts at Gearman workers had `H:pipitshed:attempt:N` in each process.

Change: JobHandles makes both, with 64 random bits of each start, one sequence for clients' and workers' handles. The decisions' draws are unchanged.

Looked at: members' and writers' instance ids are random already.

--- a/pipitshed/frontends/gearman/connection.py
+++ b/pipitshed/frontends/gearman/connection.py
@@ -260,7 +260,7 @@
             if not charge.try_add(JOB_BYTES + data_bytes, priority):
                 self._write_error(b"ERR_QUEUE_FULL", b"no memory for this job at present")
                 return
-            job = GearmanJob(frontend, frontend.new_handle(), unique_id, connection)
+            job = GearmanJob(frontend, frontend.handles.new(), unique_id, connection)
             if connection is not None:
                 self._jobs[job] = None
             self.write(encode_packet(PacketType.JOB_CREATED, job.handle))
--- a/pipitshed/frontends/gearman/frontend.py
+++ b/pipitshed/frontends/gearman/frontend.py
@@ -12,6 +12,7 @@
 from pipitshed.frontends.gearman.text_commands import run_command
 from pipitshed.frontends.gearman.unique_ids import idempotency_key, resolve_unique_id
 from pipitshed.protocols.gearman import PacketType, encode_packet
+from pipitshed.protocols.gearman_handles import JobHandles
 from pipitshed.proxy.deduplication import DeduplicationTable
 from pipitshed.proxy.forwarder import Forwarder
 from pipitshed.proxy.request import Request
@@ -56,7 +57,7 @@
         classes: Mapping[str, int],
         tenants: TenantNumbers,
         loop: asyncio.AbstractEventLoop,
-        label: str,
+        handles: JobHandles,
         max_connections: Callable[[], int],
         shutdown: Callable[[], None],
         flow_control: FlowControl | None = None,
@@ -65,6 +66,7 @@
         self.forwarder = forwarder
         self.worker_client = worker_client
         self.functions = functions
+        self.handles = handles
         self.loop = loop
         self.shutdown = shutdown
         self.connections: dict[GearmanConnection, None] = {}
@@ -74,8 +76,6 @@
         self._tenants = tenants
         self._deduplication = DeduplicationTable(forwarder, loop, self.flow_control.memory)
         self._max_connections = max_connections
-        self._label = label.encode("latin-1", "replace")  # makes handles unique across restarts
-        self._handle_count = 0
 
     def apply_settings(self, classes: Mapping[str, int], tenants: TenantNumbers) -> None:
         """Replace the numbers of classes and tenants; they apply to jobs submitted from now on."""
@@ -119,11 +119,6 @@
         """Whether any job is open."""
         return bool(self.jobs)
 
-    def new_handle(self) -> bytes:
-        """Return a handle that no other job has."""
-        self._handle_count += 1
-        return b"H:%s:%d" % (self._label, self._handle_count)
-
     def submit(
         self,
         job: GearmanJob,
--- a/pipitshed/server/assembly.py
+++ b/pipitshed/server/assembly.py
@@ -46,8 +46,6 @@
     from pipitshed.proxy.executed_id_files import ExecutedIdFiles
     from pipitshed.server.translation import TranslationParts
 
-INSTANCE_ID_MASK = 0xFFFFFFFF  # the bits of the seed that identify this process to Gearman clients
-
 
 class ServerCallbacks(Protocol):
     """The methods of the server that its components call."""
@@ -317,6 +315,7 @@
 ) -> GearmanFrontend:
     """Build the frontend of Gearman clients, and the client of Gearman workers."""
     from pipitshed.frontends.gearman import GearmanFrontend
+    from pipitshed.protocols.gearman_handles import JobHandles
     from pipitshed.protocols.http import BODY_LIMIT_BYTES
     from pipitshed.upstream.gearman import GearmanWorkerClient, WorkerLocation
 
@@ -329,16 +328,17 @@
         kinds.index(front.gearman_workers.kind),
         front.gearman_workers.weight,
     )
+    handles = JobHandles(config.name or "pipitshed")
     workers = GearmanWorkerClient(
         parts.forwarder,
         {name: function.class_name for name, function in functions.items()},
         class_names,
         location,
         BODY_LIMIT_BYTES,
+        handles,
         loop,
         parts.flow_control.memory,
     )
-    label = f"{config.name or 'pipitshed'}-{config.seed & INSTANCE_ID_MASK:08x}"
     return GearmanFrontend(
         parts.forwarder,
         workers,
@@ -346,7 +346,7 @@
         {name: number for number, name in enumerate(class_names)},
         parts.names.tenants.accepted(),
         loop,
-        label,
+        handles,
         parts.descriptors.max_gearman_peers,
         server.drain,
         parts.flow_control,
--- a/pipitshed/upstream/gearman.py
+++ b/pipitshed/upstream/gearman.py
@@ -10,6 +10,7 @@
 
 from pipitshed.flow_control import MemoryBudget, MemoryCharge, Priority
 from pipitshed.protocols.gearman import PacketError, PacketType, encode_packet
+from pipitshed.protocols.gearman_handles import JobHandles
 from pipitshed.proxy.attempt import Attempt
 from pipitshed.proxy.forwarder import Forwarder
 from pipitshed.proxy.worker_client import Endpoint
@@ -187,7 +188,7 @@
         self.waiting.remove(attempt)
         request = attempt.context.request
         function = self.client.function(attempt, self) or ""
-        handle = self.client.new_handle()
+        handle = self.client.handles.new()
         unique_id = (request.unique_id or request.idempotency_key or request.id).encode("latin-1", "replace")
         extra_arguments = {
             PacketType.JOB_ASSIGN: (),
@@ -329,6 +330,7 @@
         class_names: The names by class number, extended at a reload.
         location: Where all workers are.
         body_limit: The maximum size of a result in bytes.
+        handles: Names the workers' jobs; shared with the front end, so that no two handles are equal.
         loop: The event loop.
         memory: Bounds what the workers take.
     """
@@ -340,6 +342,7 @@
         class_names: Sequence[str],
         location: WorkerLocation,
         body_limit: int,
+        handles: JobHandles,
         loop: asyncio.AbstractEventLoop,
         memory: MemoryBudget | None = None,
     ) -> None:
@@ -348,11 +351,11 @@
         self.memory = memory or MemoryBudget(math.inf, loop.time)
         self.body_limit = body_limit
         self.class_names = class_names
+        self.handles = handles
         self.workers: dict[GearmanWorker, None] = {}
         self._class_by_function = class_by_function
         self._location = location
         self._worker_count = 0
-        self._handle_count = 0
 
     # ---- workers
 
@@ -363,11 +366,6 @@
         self.workers[worker] = None
         return worker
 
-    def new_handle(self) -> bytes:
-        """Return a new handle for a worker's job, unlike any handle given to a client."""
-        self._handle_count += 1
-        return b"H:pipitshed:attempt:%d" % self._handle_count
-
     def function(self, attempt: Attempt, worker: GearmanWorker) -> str | None:
         """Return the function under which a worker runs an attempt's job; None if it has none."""
         request = attempt.context.request
--- a/tests/frontends/test_gearman_memory.py
+++ b/tests/frontends/test_gearman_memory.py
@@ -13,6 +13,7 @@
 from pipitshed.frontends.gearman import GearmanFrontend, GearmanFunction
 from pipitshed.frontends.gearman.connection import GearmanConnection
 from pipitshed.protocols.gearman import REQUEST_MAGIC, PacketType, encode_packet
+from pipitshed.protocols.gearman_handles import JobHandles
 
 MEMORY_MB = 32
 
@@ -37,7 +38,7 @@
             {"quote": 0},
             Mock(),
             loop,
-            "rig",
+            JobHandles("rig"),
             lambda: 100,
             lambda: None,
             self.flow_control,
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -197,6 +197,13 @@
     log: list[str]
     config: Path
     mgmt_port: int = 0
+    expected_exit_code: int = 0
+
+    async def kill(self) -> None:
+        """End the program as `kill -9` does."""
+        self.expected_exit_code = -signal.SIGKILL
+        self.process.kill()
+        await self.process.wait()
 
     def reload(self, text: str) -> None:
         """Replace the configuration file, and send SIGHUP."""
@@ -284,7 +291,8 @@
                 process.send_signal(signal.SIGTERM)
             rest, _ = await process.communicate()
             running.log += rest.decode().splitlines(keepends=True)
-            assert process.returncode == 0 and "Traceback" not in "".join(running.log), running.log
+            has_ended_well = process.returncode == running.expected_exit_code
+            assert has_ended_well and "Traceback" not in "".join(running.log), running.log
         finally:
             if process.returncode is None:
                 process.kill()
--- a/tests/upstream/test_attempt_races.py
+++ b/tests/upstream/test_attempt_races.py
@@ -15,6 +15,7 @@
 from scripted_worker import CHUNKED, END, NOT_RUN, ScriptedWorker, done, line
 
 from pipitshed.protocols.gearman import PacketType, encode_packet
+from pipitshed.protocols.gearman_handles import JobHandles
 from pipitshed.scheduling.actions import StartAttempt
 from pipitshed.scheduling.events import (
     EndpointState,
@@ -136,6 +137,7 @@
         ["quote"],
         WorkerLocation(0, 0, 0, 1.0),
         1000,
+        JobHandles("rig"),
         asyncio.get_running_loop(),
     )
     worker = worker_client.worker(connection)
