testbed overload: steps of load on many schedulers in virtual time, which shows the collapse

Change: `pipitshed testbed overload FILE` runs the real decisions of many schedulers on simulated workers (slots, queue, limit and price of connections, what a cancel does to a job that waits or runs), and prints the counts per 2 s, goodput over capacity, attempts per job and the time to recover; `--plot` draws them. Bad input: one line, exit 2.

--- a/pipitshed/cli/testbed.py
+++ b/pipitshed/cli/testbed.py
@@ -35,6 +35,10 @@
     "Run a scenario with several scheduler processes and faults between them. Exit code 1: an oracle failed; "
     "the failing script is printed."
 )
+OVERLOAD_HELP = (
+    "Simulate steps of load on a fleet in virtual time, and print what was served over time. Each scheduler "
+    "makes its real decisions; workers, clients and the network are simulated."
+)
 
 
 @click.group()
@@ -226,3 +230,29 @@
         if max_shrink_runs:
             faults = shrink_faults(faults, lambda fewer: bool(self.run(fewer)["wrong"]), max_shrink_runs)
         return scenario_text(self.scenario, faults, self.puts)
+
+
+@testbed.command(help=OVERLOAD_HELP)
+@click.argument("file", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+@click.option("--seed", type=int, help="Overrides the file's seed.")
+@click.option("--json", "out", type=click.Path(path_type=Path), help="The file for the figures.")
+@click.option("--plot", type=click.Path(path_type=Path), help="The image file for a plot over time.")
+def overload(file: Path, seed: int | None, out: Path | None, plot: Path | None) -> None:
+    """Run an overload scenario, and print its table."""
+    from pipitshed.testbed.overload.plot import draw
+    from pipitshed.testbed.overload.scenario import ScenarioError, read
+    from pipitshed.testbed.overload.simulation import Simulation
+
+    try:
+        scenario = read(file.read_text())
+    except (ScenarioError, UnicodeDecodeError) as error:
+        fail(f"{file}: {error}")
+    figures = Simulation(scenario, scenario.seed if seed is None else seed).run()
+    click.echo(figures.table())
+    try:
+        if out is not None:
+            out.write_text(json.dumps(figures.to_json(), indent=1) + "\n")
+        if plot is not None:
+            draw(scenario, figures, plot)
+    except (ImportError, OSError, ValueError) as error:
+        fail(error)
