Simulations: one virtual clock in the place of three, and one planner that recognises repeats

Change: pipitshed/testbed/virtual_time.py serves all three; DeduplicatingPlanner stands in tests/loopback.py.

--- a/benchmarks/capacity/gangs.py
+++ b/benchmarks/capacity/gangs.py
@@ -24,7 +24,7 @@
     """Start one gang, its members spread over all schedulers; the figures of its start."""
     fleet = Fleet(PLANNERS, SCHEDULERS, seed)
     fleet.fill(fill_share, refill=True)
-    begin_ms, answered = fleet.now, list[ModelRequest]()
+    begin_ms, answered = fleet.time.now_ms, list[ModelRequest]()
     requests = [
         ModelRequest(
             ORDINARY, begin_ms, answered.append, number % SCHEDULERS, ANSWER_TIMEOUT_MS + MEAN_TASK_MS
@@ -33,11 +33,11 @@
     ]
     for one in requests:
         fleet.submit(one)
-    while len(answered) < members and fleet.now < begin_ms + ANSWER_TIMEOUT_MS:
-        fleet.run(fleet.now + 10.0)
+    while len(answered) < members and fleet.time.now_ms < begin_ms + ANSWER_TIMEOUT_MS:
+        fleet.time.run(fleet.time.now_ms + 10.0)
     started = [one.started for one in requests if one.started is not None]
     whole = len(started) == members
-    decided_at = max((one.ended or one.started or fleet.now) for one in requests)
+    decided_at = max((one.ended or one.started or fleet.time.now_ms) for one in requests)
     return {
         "started": float(len(started)),
         "whole": float(whole),
--- a/benchmarks/capacity/modelled.py
+++ b/benchmarks/capacity/modelled.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -23,7 +22,9 @@
     UpdateKind,
 )
 from pipitshed.scheduling.settings import Guarantees, Idempotency, JobClass, Limits, Settings
+from pipitshed.testbed.virtual_time import VirtualTime
 
+START_MS = 1_000_000.0  # of the virtual clock
 TRIP_MS = 1.0  # one way between scheduler and planner
 ZONES = 7
 SLOTS_PER_PLANNER = 6  # 29,000 tasks on 4,600 planners are 6.3 each
@@ -92,7 +93,7 @@
     """Schedulers and planners with one simulated clock in ms."""
 
     def __init__(self, planners: int, schedulers: int, seed: int) -> None:
-        self.now = 1_000_000.0
+        self.time = VirtualTime(START_MS)
         self.rng = random.Random(seed)
         self.planners = [Planner() for _ in range(planners)]
         self.schedulers = [
@@ -100,8 +101,7 @@
         ]
         self.requests: dict[tuple[int, int], ModelRequest] = {}
         self.sends: dict[tuple[int, int], int] = {}
-        self._last_job_id = self._order = 0
-        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._last_job_id = 0
         entries = tuple(EndpointEntry(b"%d" % number, zone=number % ZONES) for number in range(planners))
         for number in range(schedulers):
             self._handle(number, EndpointsUpdated(UpdateKind.SNAPSHOT, 1, entries))
@@ -121,7 +121,7 @@
             if refill:
                 self._start_background_task(self._planner_with_free_slot(), True)
 
-        self.call_later(self.rng.expovariate(1 / MEAN_TASK_MS), ended)
+        self.time.call_later(self.rng.expovariate(1 / MEAN_TASK_MS), ended)
 
     def _planner_with_free_slot(self) -> Planner:
         while True:
@@ -132,18 +132,6 @@
             ):
                 return planner
 
-    def call_later(self, wait: float, call: Callable[[], None]) -> None:
-        """Call this after `wait` ms of simulated time."""
-        self._order += 1
-        heapq.heappush(self._due, (self.now + wait, self._order, call))
-
-    def run(self, until: float) -> None:
-        """Run the simulation up to this time (ms)."""
-        while self._due and self._due[0][0] <= until:
-            self.now, _, call = heapq.heappop(self._due)
-            call()
-        self.now = until
-
     def submit(self, request: ModelRequest) -> None:
         """Submit a request; `request.on_outcome` is called when it is refused or started."""
         self._last_job_id += 1
@@ -157,14 +145,16 @@
         return taken / (SLOTS_PER_PLANNER * len(self.planners))
 
     def _handle(self, scheduler: int, event: Event) -> None:
-        for action in self.schedulers[scheduler].handle(self.now, [event]):
+        for action in self.schedulers[scheduler].handle(self.time.now_ms, [event]):
             if isinstance(action, SetTimer):
-                self.call_later(action.delay_ms, partial(self._handle, scheduler, TimerFired(action.token)))
+                self.time.call_later(
+                    action.delay_ms, partial(self._handle, scheduler, TimerFired(action.token))
+                )
             elif isinstance(action, StartAttempt):
                 key = scheduler, action.job_id
                 attempt_number = self.sends[key] = self.sends.get(key, -1) + 1
                 self.requests[key].sends += 1
-                self.call_later(TRIP_MS, partial(self._arrive, scheduler, action, attempt_number))
+                self.time.call_later(TRIP_MS, partial(self._arrive, scheduler, action, attempt_number))
             elif isinstance(action, RejectRequest | FailRequest):
                 self._refuse(scheduler, action)
             elif isinstance(action, CancelAttempt):
@@ -175,14 +165,18 @@
     def _refuse(self, scheduler: int, action: RejectRequest | FailRequest) -> None:
         request = self.requests.pop((scheduler, action.job_id))
         request.refusals += 1
-        request.ended = self.now
+        request.ended = self.time.now_ms
         request.retry_wait_ms = action.retry_after_ms if isinstance(action, RejectRequest) else 0.0
         request.on_outcome(request)
 
     def _arrive(self, scheduler: int, attempt: StartAttempt, attempt_number: int) -> None:
-        planner, key, arrived_at = self.planners[int(attempt.worker)], (scheduler, attempt.job_id), self.now
+        planner, key, arrived_at = (
+            self.planners[int(attempt.worker)],
+            (scheduler, attempt.job_id),
+            self.time.now_ms,
+        )
         if planner.taken >= SLOTS_PER_PLANNER:
-            self.call_later(
+            self.time.call_later(
                 TRIP_MS,
                 partial(
                     self._handle,
@@ -195,9 +189,9 @@
             return
         request = self.requests[key]
         planner.jobs.add(key)
-        request.started = self.now
+        request.started = self.time.now_ms
         request.on_outcome(request)
-        self.call_later(
+        self.time.call_later(
             TRIP_MS,
             partial(
                 self._handle,
@@ -212,8 +206,13 @@
             self._handle(
                 scheduler,
                 AttemptFinished(
-                    attempt.job_id, attempt_number, attempt.worker, Outcome.OK, self.now - arrived_at, True
+                    attempt.job_id,
+                    attempt_number,
+                    attempt.worker,
+                    Outcome.OK,
+                    self.time.now_ms - arrived_at,
+                    True,
                 ),
             )
 
-        self.call_later(max(2 * TRIP_MS, request.duration_ms), end)
+        self.time.call_later(max(2 * TRIP_MS, request.duration_ms), end)
--- a/benchmarks/capacity/urgent.py
+++ b/benchmarks/capacity/urgent.py
@@ -48,7 +48,7 @@
             self._schedule_next(job_class)
 
     def _schedule_next(self, job_class: int) -> None:
-        self.fleet.call_later(
+        self.fleet.time.call_later(
             self.fleet.rng.expovariate(self.rates[job_class]), partial(self._submit, job_class)
         )
 
@@ -56,7 +56,7 @@
         fleet = self.fleet
         request = ModelRequest(
             job_class,
-            fleet.now,
+            fleet.time.now_ms,
             self._on_outcome,
             fleet.rng.randrange(len(fleet.schedulers)),
             fleet.rng.expovariate(1 / MEAN_TASK_MS),
@@ -72,7 +72,7 @@
             return
         self.refused += request.job_class == ORDINARY
         request.scheduler = self.fleet.rng.randrange(len(self.fleet.schedulers))
-        self.fleet.call_later(
+        self.fleet.time.call_later(
             max(MIN_RETRY_WAIT_MS, request.retry_wait_ms), partial(self.fleet.submit, request)
         )
 
@@ -82,13 +82,17 @@
     fleet = Fleet(planners, max(2, planners // 15), seed)
     fleet.fill(CASES[case], refill=False)
     clients = _Clients(fleet, CASES[case])
-    begin_ms = fleet.now
-    fleet.run(begin_ms + SETTLE_MS + MEASURED_MS)
+    begin_ms = fleet.time.now_ms
+    fleet.time.run(begin_ms + SETTLE_MS + MEASURED_MS)
     # Tasks of the last 10 x `URGENT_MS` are left out: the run would cut their wait short.
     counted = [
-        one for one in clients.urgent if begin_ms + SETTLE_MS <= one.submitted_at < fleet.now - 10 * URGENT_MS
+        one
+        for one in clients.urgent
+        if begin_ms + SETTLE_MS <= one.submitted_at < fleet.time.now_ms - 10 * URGENT_MS
+    ]
+    waits = [
+        (fleet.time.now_ms if one.started is None else one.started) - one.submitted_at for one in counted
     ]
-    waits = [(fleet.now if one.started is None else one.started) - one.submitted_at for one in counted]
     return {
         "urgent": float(len(counted)),
         "not_started": float(sum(one.started is None for one in counted)),
--- a/benchmarks/cold_ramp.py
+++ b/benchmarks/cold_ramp.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import heapq
 import json
 import math
 import random
@@ -39,7 +38,9 @@
     UpdateKind,
 )
 from pipitshed.scheduling.settings import Costs, Guarantees, Idempotency, JobClass, Limits, Settings
+from pipitshed.testbed.virtual_time import VirtualTime
 
+START_MS = 1_000_000.0  # of the virtual clock
 WARM_UP_MS = 8_000.0  # before the restarts, so that the dispatchers have estimates
 OBSERVED_MS = 14_000.0  # after the restarts
 
@@ -180,9 +181,9 @@
     """The virtual clock with its event queue, the dispatchers and the planners."""
 
     def __init__(self, scenario: Scenario, seed: int) -> None:
-        self.scenario, self.rng, self.now_ms = scenario, random.Random(seed), 1_000_000.0
-        self.queue: list[tuple[float, int, Callable[[], None]]] = []
-        self.event_number = self.last_job_number = 0
+        self.scenario, self.rng = scenario, random.Random(seed)
+        self.time = VirtualTime(START_MS)
+        self.last_job_number = 0
         self.mean_work_ms = scenario.mean_work_ms * (1 + 7 * scenario.heavy_fraction)
         self.planners = [Planner(self, number) for number in range(scenario.planners)]
         self.by_id = {planner.id: planner for planner in self.planners}
@@ -236,9 +237,12 @@
             for planner in self.planners
         )
 
+    @property
+    def now_ms(self) -> float:
+        return self.time.now_ms
+
     def schedule(self, delay_ms: float, call: Callable[[], None]) -> None:
-        self.event_number += 1
-        heapq.heappush(self.queue, (self.now_ms + delay_ms, self.event_number, call))
+        self.time.call_later(delay_ms, call)
 
     def deliver(self, number: int, event: Event) -> None:
         self.handle_events(number, self.dispatchers[number], [event])
@@ -305,7 +309,7 @@
     def arrive(self) -> None:
         scenario = self.scenario
         arrivals_per_ms = scenario.load_fraction * scenario.planners * scenario.slots / self.mean_work_ms
-        if self.now_ms >= 1_000_000.0 + WARM_UP_MS:
+        if self.now_ms >= START_MS + WARM_UP_MS:
             arrivals_per_ms *= scenario.burst_factor
         self.schedule(self.rng.expovariate(arrivals_per_ms), self.arrive)
         self.submit(
@@ -314,24 +318,18 @@
             0,
         )
 
-    def run(self, end_ms: float) -> None:
-        while self.queue and self.queue[0][0] <= end_ms:
-            self.now_ms, _, call = heapq.heappop(self.queue)
-            call()
-        self.now_ms = end_ms
-
     def simulate(self) -> list[Planner]:
         """Run the scenario; return the restarted planners with their arrivals since the restart."""
         scenario, start_ms = self.scenario, self.now_ms
         self.arrive()
         restarted = self.planners[: max(1, round(scenario.cold_fraction * scenario.planners))]
-        self.run(start_ms + WARM_UP_MS - scenario.absence_s * 1000)
+        self.time.run(start_ms + WARM_UP_MS - scenario.absence_s * 1000)
         if scenario.absence_s:
             for planner in restarted:
                 planner.leave()
             if scenario.absence_told:
                 self.publish()
-        self.run(start_ms + WARM_UP_MS)
+        self.time.run(start_ms + WARM_UP_MS)
         at_once = 1 if scenario.restart_interval_ms else len(restarted)
         for planner in restarted[:at_once]:
             planner.restart()
@@ -346,10 +344,10 @@
             elif number not in self.uninformed:
                 self.deliver(number, EndpointsUpdated(UpdateKind.DELTA, 2, self.entries()))
         for planner in restarted[at_once:]:
-            self.run(self.now_ms + scenario.restart_interval_ms)
+            self.time.run(self.now_ms + scenario.restart_interval_ms)
             planner.restart()
             self.publish()
-        self.run(start_ms + WARM_UP_MS + OBSERVED_MS)
+        self.time.run(start_ms + WARM_UP_MS + OBSERVED_MS)
         return restarted
 
 
--- a/pipitshed/testbed/overload/simulation.py
+++ b/pipitshed/testbed/overload/simulation.py
@@ -32,8 +32,8 @@
 from pipitshed.scheduling.settings import Costs, Guarantees, Idempotency, JobClass, Limits, Settings
 from pipitshed.testbed.overload.figures import Count, CountsOverTime, OverloadFigures, summarize
 from pipitshed.testbed.overload.scenario import MS_PER_S, OverloadScenario
-from pipitshed.testbed.overload.virtual_time import VirtualTime
 from pipitshed.testbed.overload.worker import Worker, WorkerJob
+from pipitshed.testbed.virtual_time import VirtualTime
 
 TICK_MS = 4.0
 SEED_BITS = 48
--- a/pipitshed/testbed/overload/worker.py
+++ b/pipitshed/testbed/overload/worker.py
@@ -8,7 +8,7 @@
 
 from pipitshed.scheduling.events import Outcome, WorkerId
 from pipitshed.testbed.overload.scenario import WorkersFile
-from pipitshed.testbed.overload.virtual_time import VirtualTime
+from pipitshed.testbed.virtual_time import VirtualTime
 
 
 @dataclass(eq=False, slots=True)
--- a/tests/frontends/test_gearman_restart.py
+++ b/tests/frontends/test_gearman_restart.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import pytest
-from loopback import FRONT, GearmanPeer, Planner, Run, async_test, program
+from loopback import FRONT, DeduplicatingPlanner, GearmanPeer, async_test, program
 
 from pipitshed.protocols.gearman import PacketType
 from pipitshed.protocols.gearman_handles import MAX_NAME_CHARS, JobHandles
@@ -14,19 +14,6 @@
 MAX_HANDLE_BYTES = 64  # that clients of the C library store, with a NUL byte at the end
 
 
-class DeduplicatingPlanner(Planner):
-    """A planner that answers a repeated idempotency key with the result of its first run."""
-
-    def __init__(self, name: str) -> None:
-        super().__init__(name, act=self._serve_once)
-        self.results: dict[str, str] = {}
-
-    def _serve_once(self, run: Run) -> None:
-        key = run.headers["idempotency-key"]
-        run.send_event("started")
-        run.send_event("done", result=self.results.setdefault(key, f"plan of {run.body.decode()}"))
-
-
 # Guards against jobs of different clients that become one, as their keys are made from seed and count.
 @pytest.mark.parametrize(
     "unique_id, second_result",
--- a/tests/frontends/test_gearman_unique_ids.py
+++ b/tests/frontends/test_gearman_unique_ids.py
@@ -7,7 +7,7 @@
 from collections.abc import AsyncIterator
 
 import pytest
-from loopback import GearmanPeer, HttpClient, Planner, Program, Run, async_test, program
+from loopback import DeduplicatingPlanner, GearmanPeer, HttpClient, Planner, Program, async_test, program
 
 from pipitshed.protocols.gearman import PacketType
 
@@ -31,19 +31,6 @@
 }
 
 
-class DeduplicatingPlanner(Planner):
-    """A planner that answers a repeated idempotency key with the result of its first run."""
-
-    def __init__(self, name: str) -> None:
-        super().__init__(name, act=self._serve_once)
-        self.results: dict[str, str] = {}
-
-    def _serve_once(self, run: Run) -> None:
-        run.send_event("started")
-        key = run.headers["idempotency-key"]
-        run.send_event("done", result=self.results.setdefault(key, f"plan of {run.body.decode()}"))
-
-
 async def _run_jobs(worker: GearmanPeer) -> None:
     """Run jobs of all functions, one after the other."""
     while True:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -164,6 +164,19 @@
         return self.runs[count - 1]
 
 
+class DeduplicatingPlanner(Planner):
+    """A planner that answers a repeated idempotency key with the result of its first run."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, act=self._serve_once)
+        self.results: dict[str, str] = {}
+
+    def _serve_once(self, run: Run) -> None:
+        key = run.headers["idempotency-key"]
+        run.send_event("started")
+        run.send_event("done", result=self.results.setdefault(key, f"plan of {run.body.decode()}"))
+
+
 class Catalog(Peer):
     """Discovery: sends each watch the whole list, then the updates passed to `tell`."""
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -15,8 +15,8 @@
 from pipitshed.testbed.overload.figures import Count
 from pipitshed.testbed.overload.scenario import ClientsFile, WorkersFile, read
 from pipitshed.testbed.overload.simulation import Simulation
-from pipitshed.testbed.overload.virtual_time import VirtualTime
 from pipitshed.testbed.overload.worker import Worker, WorkerJob
+from pipitshed.testbed.virtual_time import VirtualTime
 
 SMALL_TEXT = """
 name = "small"
