--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -12,7 +12,7 @@
 
 from pipitshed.cli.commands import main
 from pipitshed.scheduling.events import Outcome
-from pipitshed.testbed.overload.figures import Count
+from pipitshed.testbed.overload.figures import Count, OverloadFigures
 from pipitshed.testbed.overload.scenario import ClientsFile, WorkersFile, read
 from pipitshed.testbed.overload.simulation import Simulation
 from pipitshed.testbed.overload.worker import Worker, WorkerJob
@@ -92,6 +92,43 @@
     assert scenario.load_factor(9.9) == 1.0 and scenario.load_factor(10.0) == scenario.load.steps[0]
 
 
+MANY_SCHEDULERS = """
+name = "many schedulers"
+workers = { count = 40, slots = 3, cancel-drops-queued = false }
+clients = { schedulers = 80, jobs-per-s = 3.0 }
+load = { steps = [%s], rest-s = 8.0 }
+"""
+SERVED_FRACTION = 0.9  # of what is offered, or of the capacity if that is less
+MAX_RECOVERY_S = 2.0
+MAX_CANCELLED_AT_REST = 0.02
+
+
+def run_step(factor: float, seed: int) -> OverloadFigures:
+    """A fleet at 0.6 of its capacity, with one step of the load; its workers run what is cancelled."""
+    return Simulation(read(MANY_SCHEDULERS % factor), seed).run()
+
+
+# Guards against a fleet that collapses a little above its usual load, and takes ten seconds to come back.
+def test_a_burst_below_the_capacity_is_served() -> None:
+    for seed in (1, 2, 3, 4):
+        figures = run_step(1.25, seed)
+        [step] = figures.steps
+        assert step.goodput >= SERVED_FRACTION * 1.25 * figures.offered, seed
+        assert step.recovery_s is not None and step.recovery_s <= MAX_RECOVERY_S, seed
+
+
+def test_twice_the_capacity_leaves_the_capacity_in_use() -> None:
+    for seed in (1, 2, 3):
+        [step] = run_step(2.0 / 0.6, seed).steps
+        assert step.goodput >= SERVED_FRACTION, seed
+        assert step.recovery_s is not None and step.recovery_s <= MAX_RECOVERY_S, seed
+
+
+def test_at_rest_few_attempts_are_cancelled_before_their_start() -> None:
+    for seed in (1, 2, 3):
+        assert run_step(1.0, seed).rest_cancelled < MAX_CANCELLED_AT_REST, seed
+
+
 class WorkerRig:
     """A worker, and what it has reported of each job."""
 
