Where many attempts start late, jobs are moved for a tenth of the starts, not without a limit

Cause: a job that had not started in time was cancelled and sent elsewhere, without a limit on how many.

Change: MoveBudget, for both ways (replace, add): one move for ten starts of the scheduler, three saved at most; it binds where over 0.3 of the last attempts started late. Without a move a job stays; if it is late among busy workers it is given up, as its next attempt was refused before. It works because what moves add to the load is bounded by what starts.

--- a/pipitshed/scheduling/dispatcher.py
+++ b/pipitshed/scheduling/dispatcher.py
@@ -47,6 +47,7 @@
     TimerFired,
 )
 from pipitshed.scheduling.job_state import Attempt, Job, Scope
+from pipitshed.scheduling.move_budget import FREE_MOVES_PROBABILITY, MoveBudget
 from pipitshed.scheduling.poll_schedule import PollSchedule
 from pipitshed.scheduling.settings import Settings
 from pipitshed.scheduling.slow_start_budget import SlowStartBudget, SlowStartWait
@@ -66,6 +67,7 @@
         self.jobs: dict[int, Job] = {}
         self.waiting: dict[int, Job] = {}  # jobs with no attempt in flight
         self.window = new_attempt_window()
+        self.move_budget = MoveBudget()
         self.load = LoadEstimate(settings)
         self.statistics = ServiceStatistics(len(settings.classes))
         self.endpoints = EndpointList(settings)
@@ -329,13 +331,32 @@
         for attempt in in_flight:
             self.recorder.start_overdue(job, attempt, self.now_ms)
         action = attempt_watchdog.start_overdue_action(job, self.settings.limits, self.window, self.now_ms)
-        if action is StartOverdueAction.ADD_ATTEMPT:
+        if action is StartOverdueAction.KEEP_WAITING:
+            return
+        if not self._may_move():
+            self._stay(job, action)
+        elif action is StartOverdueAction.ADD_ATTEMPT:
             self._try_attempt(job)
-        elif action is StartOverdueAction.REPLACE_ATTEMPTS:
+        else:
             job.min_allowed_attempts = len(job.attempts) + 1
             for attempt in in_flight:
                 self._cancel(job, attempt)
 
+    def _may_move(self) -> bool:
+        """Whether a job may be moved before its start: within the budget, and always while few are late."""
+        has_move = self.move_budget.try_take()
+        late_share = self.window.no_capacity_probability(self.now_ms) or 0.0
+        return has_move or late_share <= FREE_MOVES_PROBABILITY
+
+    def _stay(self, job: Job, action: StartOverdueAction) -> None:
+        """Leave the job where it is, as no move is left; give it up where a move would have come too late."""
+        is_late = retry_policy.is_late_among_busy(job, self.window, self.now_ms)
+        if action is StartOverdueAction.REPLACE_ATTEMPTS and is_late:
+            self._give_up(job, AnswerReason.OBJECTIVE_MISSED)
+            return
+        late_at_ms = job.submitted_at_ms + job.job_class.latency_objective_ms + self.settings.tick_ms
+        self._wake_at(job, max(late_at_ms, self.now_ms + self._start_timeout_ms(job)))
+
     def _check_progress(self, job: Job, started: list[Attempt]) -> None:
         due_ms = attempt_watchdog.stall_due_ms(started, self.settings)
         if not attempt_watchdog.may_replace_stalled(job, self.settings, due_ms):
@@ -361,6 +382,7 @@
         job, attempt = job_and_attempt
         if event.kind == ProgressKind.STARTED and not attempt.started:
             self.recorder.started(job, attempt, self.now_ms)
+            self.move_budget.record_start()
             self._advance(job)
         elif event.kind == ProgressKind.PROGRESS:
             self.recorder.progressed(job, attempt, event.done_fraction, self.now_ms)
--- a/pipitshed/scheduling/retry_policy.py
+++ b/pipitshed/scheduling/retry_policy.py
@@ -136,17 +136,20 @@
     if not options.may_attempt:
         exhausted = len(job.attempts) >= limits.max_attempts
         return AnswerReason.ATTEMPTS_EXHAUSTED if exhausted else AnswerReason.NOT_REPEATABLE
-    if (
-        job.attempts
-        and not only_scheduler_may_repeat
-        and now_ms > job.submitted_at_ms + job.job_class.latency_objective_ms
-        and (window.no_capacity_probability(now_ms) or 0.0) > BUSY_PROBABILITY
-    ):
-        # A late job takes no capacity of busy workers from jobs that can still meet their objective.
+    if job.attempts and not only_scheduler_may_repeat and is_late_among_busy(job, window, now_ms):
         return AnswerReason.OBJECTIVE_MISSED
     return None
 
 
+def is_late_among_busy(job: Job, window: AttemptWindow, now_ms: float) -> bool:
+    """Whether the job has missed its objective, and the workers are busy.
+
+    Such a job takes no capacity from jobs that can still meet their objective.
+    """
+    is_late = now_ms > job.submitted_at_ms + job.job_class.latency_objective_ms
+    return is_late and (window.no_capacity_probability(now_ms) or 0.0) > BUSY_PROBABILITY
+
+
 def backoff_ms(job: Job, rng: random.Random) -> float:
     """A random pause in ms before the next attempt; its mean doubles with each one without capacity."""
     objective_ms = job.job_class.latency_objective_ms
