A late job that may not be cancelled is not given up for want of a move

Where the settings don't permit cancels no job is moved at all, so such a job would have lost the place in the queue that it kept before.

Change: the rule applies where cancels are permitted.

Measured: test_a_late_job_that_may_not_be_cancelled_waits_on fails without it.

--- a/pipitshed/scheduling/dispatcher.py
+++ b/pipitshed/scheduling/dispatcher.py
@@ -351,7 +351,8 @@
     def _stay(self, job: Job, action: StartOverdueAction) -> None:
         """Leave the job where it is, as no move is left; give it up where a move would have come too late."""
         is_late = retry_policy.is_late_among_busy(job, self.window, self.now_ms)
-        if action is StartOverdueAction.REPLACE_ATTEMPTS and is_late:
+        may_replace = action is StartOverdueAction.REPLACE_ATTEMPTS and self.settings.limits.may_cancel
+        if may_replace and is_late:
             self._give_up(job, AnswerReason.OBJECTIVE_MISSED)
             return
         late_at_ms = job.submitted_at_ms + job.job_class.latency_objective_ms + self.settings.tick_ms
--- a/tests/scheduling/test_move_budget.py
+++ b/tests/scheduling/test_move_budget.py
@@ -147,3 +147,14 @@
         pass
     bench.run(bench.now + OBJECTIVE_MS + 4 * START_TIMEOUT_MS)
     assert not any(isinstance(action, CancelAttempt | RejectRequest) for action in bench.log)
+
+
+def test_a_late_job_that_may_not_be_cancelled_waits_on() -> None:
+    """Without the permission to cancel no job is moved, so that none is given up in its place."""
+    bench = bench_with(replace(REPLACING, may_cancel=False))
+    submit(bench, *range(8))
+    fill_window(bench)
+    while bench.dispatcher.move_budget.try_take():
+        pass
+    bench.run(bench.now + OBJECTIVE_MS + 4 * START_TIMEOUT_MS)
+    assert not any(isinstance(action, CancelAttempt | RejectRequest) for action in bench.log)
