A late job that only the scheduler may repeat is not given up for want of a move

Change: retry_policy.may_give_up_late has both parts of the rule. Found by reading the whole change again.

Measured: test_a_late_job_whose_client_must_not_send_it_again_waits_on fails without it.

--- a/pipitshed/scheduling/dispatcher.py
+++ b/pipitshed/scheduling/dispatcher.py
@@ -350,9 +350,10 @@
 
     def _stay(self, job: Job, action: StartOverdueAction) -> None:
         """Leave the job where it is, as no move is left; give it up where a move would have come too late."""
-        is_late = retry_policy.is_late_among_busy(job, self.window, self.now_ms)
-        may_replace = action is StartOverdueAction.REPLACE_ATTEMPTS and self.settings.limits.may_cancel
-        if may_replace and is_late:
+        limits = self.settings.limits
+        options = retry_policy.retry_options(job, limits, self.settings.tick_ms, self.now_ms, once_idle=True)
+        may_replace = action is StartOverdueAction.REPLACE_ATTEMPTS and limits.may_cancel
+        if may_replace and retry_policy.may_give_up_late(job, options, self.window, self.now_ms):
             self._give_up(job, AnswerReason.OBJECTIVE_MISSED)
             return
         late_at_ms = job.submitted_at_ms + job.job_class.latency_objective_ms + self.settings.tick_ms
--- a/pipitshed/scheduling/retry_policy.py
+++ b/pipitshed/scheduling/retry_policy.py
@@ -141,6 +141,12 @@
     return None
 
 
+def may_give_up_late(job: Job, options: RetryOptions, window: AttemptWindow, now_ms: float) -> bool:
+    """Whether a job that has not started may be given up as late, though its attempt is not cancelled yet."""
+    only_scheduler_may_repeat = bool(job.reset_count) and not options.rejectable
+    return not only_scheduler_may_repeat and is_late_among_busy(job, window, now_ms)
+
+
 def is_late_among_busy(job: Job, window: AttemptWindow, now_ms: float) -> bool:
     """Whether the job has missed its objective, and the workers are busy.
 
--- a/tests/scheduling/test_move_budget.py
+++ b/tests/scheduling/test_move_budget.py
@@ -11,11 +11,17 @@
 import pytest
 from helpers import Bench, entries, sends_of, settings
 
-from pipitshed.scheduling.actions import AnswerReason, CancelAttempt, RejectRequest, StartAttempt
+from pipitshed.scheduling.actions import (
+    AnswerReason,
+    CancelAttempt,
+    FailRequest,
+    RejectRequest,
+    StartAttempt,
+)
 from pipitshed.scheduling.capacity_estimate import WINDOW_ATTEMPT_COUNT
 from pipitshed.scheduling.events import AttemptProgressed, JobSubmitted, Outcome, ProgressKind
 from pipitshed.scheduling.move_budget import MAX_SAVED_MOVES, MOVES_PER_START, MoveBudget
-from pipitshed.scheduling.settings import Limits
+from pipitshed.scheduling.settings import DeduplicationScope, Idempotency, Limits
 
 DEADLINE_MS = 4000.0
 START_TIMEOUT_MS = 30.0  # a tenth of the objective
@@ -24,8 +30,8 @@
 ADDING = replace(REPLACING, parallel_attempts=True)
 
 
-def bench_with(limits: Limits = REPLACING) -> Bench:
-    return Bench(settings(zone_count=1, workers_report_start=True, limits=limits), entries(9))
+def bench_with(limits: Limits = REPLACING, **changes: object) -> Bench:
+    return Bench(settings(zone_count=1, workers_report_start=True, limits=limits, **changes), entries(9))
 
 
 def submit(bench: Bench, *jobs: int) -> list[StartAttempt]:
@@ -158,3 +164,18 @@
         pass
     bench.run(bench.now + OBJECTIVE_MS + 4 * START_TIMEOUT_MS)
     assert not any(isinstance(action, CancelAttempt | RejectRequest) for action in bench.log)
+
+
+def test_a_late_job_whose_client_must_not_send_it_again_waits_on() -> None:
+    """Its first attempt was reset, so that only the scheduler may repeat it, within its cell."""
+    keyed = {"effect": Idempotency.IDEMPOTENT_WITH_KEY, "group": DeduplicationScope.CELL}
+    bench = bench_with(**keyed)
+    [first] = submit(bench, 1)
+    bench.finish(first, 0, Outcome.RESET)
+    while len(bench.sends) < 2:
+        bench.run(bench.now + bench.config.tick_ms)
+    fill_window(bench)
+    while bench.dispatcher.move_budget.try_take():
+        pass
+    bench.run(bench.now + OBJECTIVE_MS + 4 * START_TIMEOUT_MS)
+    assert not any(isinstance(action, FailRequest | RejectRequest | CancelAttempt) for action in bench.log)
