HTTP: a request's time runs from the arrival of its first bytes

Cause: RequestLifecycle.submit added the client's X-Deadline to the time of the call. A request behind another on its connection is submitted when that one is answered, one in pieces after its last piece, one whose input waits for the connection's share of the loop after that wait.

Change: PacedConnection keeps when its input was read, Request when its first bytes were, and the client's time runs from then. Gearman submissions carry the time of their read.

--- a/pipitshed/flow_control/paced_connection.py
+++ b/pipitshed/flow_control/paced_connection.py
@@ -31,6 +31,7 @@
 
     Attributes:
         slice_bytes: The size of a usual slice of the input.
+        read_at: Monotonic time at which the input that is handled was read from the socket.
     """
 
     # With slots here, the attributes of derived classes still fit a key-sharing dictionary.
@@ -46,6 +47,7 @@
         "_read_buffer",
         "_read_count",
         "_transport",
+        "read_at",
     )
 
     slice_bytes = DEFAULT_SLICE_BYTES
@@ -62,6 +64,7 @@
         self._ends_turn = False  # handles no further slice in this turn
         self._is_drained = True  # the last read emptied the socket
         self._read_count = 0
+        self.read_at = 0.0
 
     # ---- for the derived classes
 
@@ -172,6 +175,7 @@
 
     def buffer_updated(self, count: int) -> None:
         """Handle what was read, within the connection's share."""
+        self.read_at = monotonic()
         if self._is_drained and count <= self.slice_bytes:
             self.data_received(self._read_buffer[:count].tobytes())  # the usual case
             return
--- a/pipitshed/frontends/gearman/connection.py
+++ b/pipitshed/frontends/gearman/connection.py
@@ -62,10 +62,19 @@
     body: bytes
     priority: int
     memory_charge: MemoryCharge
+    arrived_at: float
 
     def start(self, frontend: GearmanFrontend) -> None:
         """Submit the job, unless it was withdrawn."""
-        frontend.submit(self.job, self.parameters, self.name, self.body, self.priority, self.memory_charge)
+        frontend.submit(
+            self.job,
+            self.parameters,
+            self.name,
+            self.body,
+            self.priority,
+            self.memory_charge,
+            self.arrived_at,
+        )
 
 
 _SUBMISSIONS = {
@@ -265,7 +274,7 @@
                 self._jobs[job] = None
             self.write(encode_packet(PacketType.JOB_CREATED, job.handle))
             frontend.jobs[job.handle] = job
-            unstarted = _UnstartedJob(job, parameters, name, body, submission.priority, charge)
+            unstarted = _UnstartedJob(job, parameters, name, body, submission.priority, charge, self.read_at)
             self._start_soon(unstarted)
             self.end_turn()
 
--- a/pipitshed/frontends/gearman/frontend.py
+++ b/pipitshed/frontends/gearman/frontend.py
@@ -127,6 +127,7 @@
         body: bytes,
         priority: int,
         memory_charge: MemoryCharge,
+        arrived_at: float,
     ) -> None:
         """Submit a job unless its client has disconnected; function and unique id are its idempotency key."""
         if job.handle not in self.jobs:
@@ -147,6 +148,7 @@
             tenant_name=parameters.tenant_name,
             form_version=parameters.form,
             memory_charge=memory_charge,
+            arrived_at=arrived_at,
         )
         job.entry = self._deduplication.submit(request, job)
 
--- a/pipitshed/frontends/http/connection.py
+++ b/pipitshed/frontends/http/connection.py
@@ -72,6 +72,7 @@
         self._message_bytes = 0  # received of an incomplete request
         self._body_bytes_left = 0  # of a body whose length is known
         self._is_receiving = False
+        self._message_began_at = 0.0  # monotonic time at which its first bytes were read
         self.last_received_at = 0.0  # loop time
         self.last_responded_at = 0.0  # loop time
         self._timer: asyncio.TimerHandle | None = None  # expires when the request must be complete
@@ -259,6 +260,7 @@
     def on_message_begin(self) -> None:
         """Called by the parser: reset the state for a new request."""
         self._is_receiving = True
+        self._message_began_at = self.read_at
         self._resource = b""
         self._headers = {}
         self._parsed_head_bytes = 0
@@ -349,7 +351,9 @@
         charge.complete()
         body, headers = self._buffer.take_all(), self._headers
         try:
-            request = self._frontend.parser.request(verb, self._resource, headers, body, charge)
+            request = self._frontend.parser.request(
+                verb, self._resource, headers, body, self._message_began_at, charge
+            )
         except MalformedError:
             charge.release()
             raise
--- a/pipitshed/frontends/http/request_parser.py
+++ b/pipitshed/frontends/http/request_parser.py
@@ -114,9 +114,14 @@
         resource: bytes,
         head: dict[bytes, bytes],
         body: bytes,
+        arrived_at: float,
         memory_charge: MemoryCharge = NO_CHARGE,
     ) -> Request:
-        """Build the request; MalformedError if it can't be accepted."""
+        """Build the request, whose first bytes arrived at this monotonic time (s).
+
+        Raises:
+            MalformedError: It can't be accepted.
+        """
         form = self._merge_envelope(head, body) if self._forms is not None else None
         request_id, key = head.get(b"x-request-id", b""), head.get(b"idempotency-key", b"")
         job_class = self._classes.get(head.get(b"x-class", b""))
@@ -152,6 +157,7 @@
             tenant_name=head.get(b"x-tenant", b"").decode("latin-1") if form is not None else "",
             form_version=form,
             memory_charge=memory_charge,
+            arrived_at=arrived_at,
         )
 
     def _merge_envelope(self, head: dict[bytes, bytes], body: bytes) -> int:
--- a/pipitshed/proxy/request.py
+++ b/pipitshed/proxy/request.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field, replace
+from time import monotonic
 from typing import TYPE_CHECKING, Any, Protocol
 
 from pipitshed.flow_control import NO_CHARGE, MemoryCharge
@@ -22,7 +23,7 @@
 
     id: str
     job_class: int
-    client_timeout_ms: float  # how long the client waits after sending the request
+    client_timeout_ms: float  # how long the client waits, counted from the arrival
     tenant: int
     body: bytes = b""
     idempotency_key: str = ""  # the same for all retries of one request, and for no other request
@@ -39,6 +40,7 @@
     tenant_name: str = ""  # as the client sent it, even if the settings don't contain it
     form_version: int | None = None  # version of the message form; None without translation
     memory_charge: MemoryCharge = field(default=NO_CHARGE, repr=False, compare=False)  # released at its end
+    arrived_at: float = field(default_factory=monotonic, compare=False)  # monotonic time of its first bytes
 
 
 class TranslationFailure(Protocol):
--- a/pipitshed/proxy/request_lifecycle.py
+++ b/pipitshed/proxy/request_lifecycle.py
@@ -54,10 +54,10 @@
         """Accept a complete request; from now on its requester gets exactly one final answer."""
         self._last_job_id += 1
         now = monotonic()
+        client_waits_until = request.arrived_at + request.client_timeout_ms / 1000
         # During shutdown there may be less time than the client allows.
-        remaining_ms = max(
-            0.0, min(request.client_timeout_ms - RESPONSE_MARGIN_MS, (self.answer_deadline_at - now) * 1000)
-        )
+        answer_due_at = min(client_waits_until - RESPONSE_MARGIN_MS / 1000, self.answer_deadline_at)
+        remaining_ms = max(0.0, (answer_due_at - now) * 1000)
         context = RequestContext(self._last_job_id, request, requester, now + remaining_ms / 1000)
         self._contexts[context.job_id] = context
         self._counters[SUBMITTED_COUNTER] += 1
--- a/tests/flow_control/test_input_scheduler.py
+++ b/tests/flow_control/test_input_scheduler.py
@@ -40,6 +40,7 @@
         super().__init__(flow_control)
         self.clock = clock
         self.received = bytearray()
+        self.read_times: set[float] = set()  # of the handled slices
         self.drained_count = 0
         self.fails = False
         transport = Mock()
@@ -52,6 +53,7 @@
         if self.fails:
             raise RuntimeError("broken")
         self.received += data
+        self.read_times.add(self.read_at)
         self.clock.now_s += SLICE_COST_S
 
     def input_drained(self) -> None:
@@ -78,6 +80,18 @@
 DATA = bytes(range(256)) * (READ_BYTES // 256)
 
 
+def test_input_that_waits_for_its_turn_keeps_the_time_of_its_read(clock: VirtualClock) -> None:
+    async def body(flow_control: FlowControl) -> None:
+        connection = Connection(flow_control, clock)
+        for started_at in (1.0, 2.0):
+            clock.now_s = started_at
+            connection.read(DATA)
+            await until(lambda: not connection.has_deferred_input)
+        assert connection.read_times == {1.0, 2.0}
+
+    in_loop(body)
+
+
 def test_a_connection_beyond_its_share_is_read_on_in_its_next_turn(clock: VirtualClock) -> None:
     async def body(flow_control: FlowControl) -> None:
         connection = Connection(flow_control, clock)
