testbed overload: spans that are no multiple of 0.5 s are rejected

Cause: counts are kept by intervals of 0.5 s. A scenario with a rest of 4.2 s was accepted, and its steps were counted from the wrong interval.

--- a/pipitshed/testbed/overload/figures.py
+++ b/pipitshed/testbed/overload/figures.py
@@ -6,10 +6,9 @@
 from dataclasses import asdict, dataclass
 from enum import StrEnum
 
-from pipitshed.testbed.overload.scenario import OverloadScenario
+from pipitshed.testbed.overload.scenario import COUNT_INTERVAL_S, OverloadScenario
 
 WINDOW_S = 2.0  # of a row of the table
-RECOVERY_WINDOW_S = 0.5  # by which the time to recover is measured
 RECOVERED_FRACTION = 0.95  # served of offered, from which on a fleet has recovered
 
 
@@ -95,7 +94,7 @@
         self._counts.setdefault(_slot(time_ms / 1000), Counter())[count] += 1
 
     def between(self, start_s: float, end_s: float) -> Counter[Count]:
-        """The counts from one time to another, both multiples of RECOVERY_WINDOW_S."""
+        """The counts from one time to another, both multiples of COUNT_INTERVAL_S."""
         total: Counter[Count] = Counter()
         for slot in range(_slot(start_s), _slot(end_s)):
             total += self._counts.get(slot, Counter())
@@ -103,7 +102,7 @@
 
 
 def _slot(time_s: float) -> int:
-    return int(time_s / RECOVERY_WINDOW_S + 1e-9)
+    return int(time_s / COUNT_INTERVAL_S + 1e-9)
 
 
 def summarize(scenario: OverloadScenario, counts: CountsOverTime) -> OverloadFigures:
@@ -143,5 +142,5 @@
         window = counts.between(start_s, start_s + WINDOW_S)
         if window[Count.OK] >= RECOVERED_FRACTION * scenario.jobs_per_s * WINDOW_S:
             return start_s - end_s
-        start_s += RECOVERY_WINDOW_S
+        start_s += COUNT_INTERVAL_S
     return None
--- a/pipitshed/testbed/overload/scenario.py
+++ b/pipitshed/testbed/overload/scenario.py
@@ -10,6 +10,7 @@
 MAX_SCHEDULERS = 1_000
 MAX_WORKERS = 1_000
 MAX_JOBS = 1_000_000  # of a whole run; beyond it a run takes many minutes
+COUNT_INTERVAL_S = 0.5  # events are counted by it, so that all spans are multiples of it
 MS_PER_S = 1000
 
 
@@ -154,6 +155,17 @@
         problems.append("load.steps must have factors of more than 0")
     if not problems and not _expected_jobs(scenario) <= MAX_JOBS:
         problems.append(f"the scenario has over {MAX_JOBS} jobs")
+    if not problems:
+        spans = {
+            "load.first-rest-s": load.first_rest_s,
+            "load.step-s": load.step_s,
+            "load.rest-s": load.rest_s,
+        }
+        problems += [
+            f"{name} must be a multiple of {COUNT_INTERVAL_S}"
+            for name, value in spans.items()
+            if value % COUNT_INTERVAL_S
+        ]
     return problems
 
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -43,6 +43,7 @@
         ('name = "a"\nload = { steps = [] }', "load.steps must have factors of more than 0"),
         ('name = "a"\nload = { rest-s = inf }', "the scenario has over 1000000 jobs"),
         ('name = "a"\nclients = { jobs-per-s = 1e9 }', "the scenario has over 1000000 jobs"),
+        ('name = "a"\nload = { rest-s = 4.2 }', "load.rest-s must be a multiple of 0.5"),
         ('name = "a"\nrules = { repeat = "often" }', "Invalid enum value 'often'"),
         ('name = "\xff"', "can't decode byte"),
     ],
