The move budget itself decides where it binds

The limit of late starts up to which moves are free was asked in the dispatcher; the rule of which job only the scheduler may repeat stood twice in retry_policy; the tests emptied the budget in four places, and two differed in their limits alone.

No behaviour changes.

--- a/pipitshed/scheduling/dispatcher.py
+++ b/pipitshed/scheduling/dispatcher.py
@@ -47,7 +47,7 @@
     TimerFired,
 )
 from pipitshed.scheduling.job_state import Attempt, Job, Scope
-from pipitshed.scheduling.move_budget import FREE_MOVES_PROBABILITY, MoveBudget
+from pipitshed.scheduling.move_budget import MoveBudget
 from pipitshed.scheduling.poll_schedule import PollSchedule
 from pipitshed.scheduling.settings import Settings
 from pipitshed.scheduling.slow_start_budget import SlowStartBudget, SlowStartWait
@@ -67,7 +67,7 @@
         self.jobs: dict[int, Job] = {}
         self.waiting: dict[int, Job] = {}  # jobs with no attempt in flight
         self.window = new_attempt_window()
-        self.move_budget = MoveBudget()
+        self.move_budget = MoveBudget(self.window)
         self.load = LoadEstimate(settings)
         self.statistics = ServiceStatistics(len(settings.classes))
         self.endpoints = EndpointList(settings)
@@ -333,7 +333,7 @@
         action = attempt_watchdog.start_overdue_action(job, self.settings.limits, self.window, self.now_ms)
         if action is StartOverdueAction.KEEP_WAITING:
             return
-        if not self._may_move():
+        if not self.move_budget.try_take(self.now_ms):
             self._stay(job, action)
         elif action is StartOverdueAction.ADD_ATTEMPT:
             self._try_attempt(job)
@@ -342,12 +342,6 @@
             for attempt in in_flight:
                 self._cancel(job, attempt)
 
-    def _may_move(self) -> bool:
-        """Whether a job may be moved before its start: within the budget, and always while few are late."""
-        has_move = self.move_budget.try_take()
-        late_share = self.window.no_capacity_probability(self.now_ms) or 0.0
-        return has_move or late_share <= FREE_MOVES_PROBABILITY
-
     def _stay(self, job: Job, action: StartOverdueAction) -> None:
         """Leave the job where it is, as no move is left; give it up where a move would have come too late."""
         limits = self.settings.limits
--- a/pipitshed/scheduling/retry_policy.py
+++ b/pipitshed/scheduling/retry_policy.py
@@ -121,12 +121,8 @@
     job: Job, options: RetryOptions, limits: Limits, window: AttemptWindow, now_ms: float
 ) -> AnswerReason | None:
     """The reason for which the job gets no further attempt now; None where it gets one."""
-    # A client must not resend a job whose connection broke and that can't be rejected. Only the scheduler can
-    # retry such a job, so the job gets the maximum number of attempts.
-    only_scheduler_may_repeat = (
-        bool(job.reset_count) and not options.rejectable and not job.attempts_in_flight()
-    )
-    if only_scheduler_may_repeat:
+    must_repeat = only_scheduler_may_repeat(job, options) and not job.attempts_in_flight()
+    if must_repeat:
         allowed = limits.max_attempts
     else:
         by_estimate = allowed_attempts(job, limits.max_attempts, window, now_ms)
@@ -136,15 +132,22 @@
     if not options.may_attempt:
         exhausted = len(job.attempts) >= limits.max_attempts
         return AnswerReason.ATTEMPTS_EXHAUSTED if exhausted else AnswerReason.NOT_REPEATABLE
-    if job.attempts and not only_scheduler_may_repeat and is_late_among_busy(job, window, now_ms):
+    if job.attempts and not must_repeat and is_late_among_busy(job, window, now_ms):
         return AnswerReason.OBJECTIVE_MISSED
     return None
 
 
+def only_scheduler_may_repeat(job: Job, options: RetryOptions) -> bool:
+    """Whether the client must not resend the job: its connection broke, and it can't be rejected.
+
+    Such a job gets the maximum number of attempts.
+    """
+    return bool(job.reset_count) and not options.rejectable
+
+
 def may_give_up_late(job: Job, options: RetryOptions, window: AttemptWindow, now_ms: float) -> bool:
     """Whether a job that has not started may be given up as late, though its attempt is not cancelled yet."""
-    only_scheduler_may_repeat = bool(job.reset_count) and not options.rejectable
-    return not only_scheduler_may_repeat and is_late_among_busy(job, window, now_ms)
+    return not only_scheduler_may_repeat(job, options) and is_late_among_busy(job, window, now_ms)
 
 
 def is_late_among_busy(job: Job, window: AttemptWindow, now_ms: float) -> bool:
--- a/tests/scheduling/test_move_budget.py
+++ b/tests/scheduling/test_move_budget.py
@@ -18,7 +18,7 @@
     RejectRequest,
     StartAttempt,
 )
-from pipitshed.scheduling.capacity_estimate import WINDOW_ATTEMPT_COUNT
+from pipitshed.scheduling.capacity_estimate import WINDOW_ATTEMPT_COUNT, new_attempt_window
 from pipitshed.scheduling.events import AttemptProgressed, JobSubmitted, Outcome, ProgressKind
 from pipitshed.scheduling.move_budget import MAX_SAVED_MOVES, MOVES_PER_START, MoveBudget
 from pipitshed.scheduling.settings import DeduplicationScope, Idempotency, Limits
@@ -58,16 +58,25 @@
         bench.dispatcher.window.add(bench.now, number < late_count)
 
 
+def empty_budget(bench: Bench) -> None:
+    """Take all moves; the window must be filled with late starts."""
+    while bench.dispatcher.move_budget.try_take(bench.now):
+        pass
+
+
 def test_a_budget_gives_one_move_for_ten_starts_and_saves_a_few() -> None:
-    budget = MoveBudget()
-    assert [budget.try_take() for _ in range(int(MAX_SAVED_MOVES) + 1)] == [True, True, True, False]
+    window = new_attempt_window()
+    for _ in range(WINDOW_ATTEMPT_COUNT):
+        window.add(0.0, no_capacity=True)
+    budget = MoveBudget(window)
+    assert [budget.try_take(0.0) for _ in range(int(MAX_SAVED_MOVES) + 1)] == [True, True, True, False]
     for _ in range(round(1 / MOVES_PER_START) + 1):
-        assert not budget.try_take()
+        assert not budget.try_take(0.0)
         budget.record_start()
-    assert budget.try_take() and not budget.try_take()
+    assert budget.try_take(0.0) and not budget.try_take(0.0)
     for _ in range(1000):
         budget.record_start()
-    assert [budget.try_take() for _ in range(4)] == [True, True, True, False]
+    assert [budget.try_take(0.0) for _ in range(4)] == [True, True, True, False]
 
 
 @pytest.mark.parametrize("limits", [REPLACING, ADDING], ids=["replace", "add"])
@@ -129,8 +138,7 @@
     bench = bench_with()
     sends = submit(bench, *range(8))
     fill_window(bench)
-    while bench.dispatcher.move_budget.try_take():
-        pass
+    empty_budget(bench)
     began_at = bench.now
     bench.run(began_at + OBJECTIVE_MS)
     assert not any(isinstance(action, RejectRequest) for action in bench.log)
@@ -144,24 +152,15 @@
     assert bench.checker.faults == [] and not bench.dispatcher.jobs
 
 
-def test_a_late_job_with_attempts_side_by_side_keeps_them_without_a_move() -> None:
-    """They keep their places in the workers' queues, as they do without a budget."""
-    bench = bench_with(ADDING)
-    submit(bench, *range(8))
-    fill_window(bench)
-    while bench.dispatcher.move_budget.try_take():
-        pass
-    bench.run(bench.now + OBJECTIVE_MS + 4 * START_TIMEOUT_MS)
-    assert not any(isinstance(action, CancelAttempt | RejectRequest) for action in bench.log)
-
-
-def test_a_late_job_that_may_not_be_cancelled_waits_on() -> None:
-    """Without the permission to cancel no job is moved, so that none is given up in its place."""
-    bench = bench_with(replace(REPLACING, may_cancel=False))
+@pytest.mark.parametrize(
+    "limits", [ADDING, replace(REPLACING, may_cancel=False)], ids=["side by side", "not cancelled"]
+)
+def test_a_late_job_without_a_move_keeps_its_attempts_where_none_is_replaced(limits: Limits) -> None:
+    """Attempts side by side keep their places in the queues, as do those that may not be cancelled."""
+    bench = bench_with(limits)
     submit(bench, *range(8))
     fill_window(bench)
-    while bench.dispatcher.move_budget.try_take():
-        pass
+    empty_budget(bench)
     bench.run(bench.now + OBJECTIVE_MS + 4 * START_TIMEOUT_MS)
     assert not any(isinstance(action, CancelAttempt | RejectRequest) for action in bench.log)
 
@@ -175,7 +174,6 @@
     while len(bench.sends) < 2:
         bench.run(bench.now + bench.config.tick_ms)
     fill_window(bench)
-    while bench.dispatcher.move_budget.try_take():
-        pass
+    empty_budget(bench)
     bench.run(bench.now + OBJECTIVE_MS + 4 * START_TIMEOUT_MS)
     assert not any(isinstance(action, FailRequest | RejectRequest | CancelAttempt) for action in bench.log)
